--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,571 @@
+// The decisions of headrouter, all of them and their constants. The interface is in brain.h: whoever hosts a
+// balancer makes one Brain for it, tells it each event in order, and carries out the Actions it answers with.
+// A call runs there through the chain (admit, guard_effect, place, send); what comes back of its leg runs the
+// chain the other way, and if an answer is still owed the call starts through it again. docs/design.md says
+// which lines follow the design, which extend it, and when each extension acts.
+#include "brain.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace headrouter {
+namespace {
+
+// Terms on the wall clock (design 4), and the grace before a saturated server sheds (design 5).
+constexpr Span balance_time = seconds(6), pause_time = seconds(4), shed_grace = seconds(0.5);
+constexpr Span term_time = balance_time + pause_time;
+constexpr int terms_kept = 6;
+// Design 2 and 5 speak of 50 and 10 clients; one balancer here holds a handful on each server.
+constexpr double saturation_band = 1.05, saturation_floor = 2;
+constexpr int least_shed = 1;
+// Design 7.
+constexpr int judged_from = 20, terms_out = 3;
+constexpr double kept_share = 0.1;
+// Design 6: the table of keys that failed elsewhere.
+constexpr size_t keys_kept = 2048;
+constexpr Span key_age_limit = seconds(30);
+// Distrust: points a failure, time in which half of it fades, and the first time-out of a failing server.
+constexpr double points_failed = 1, points_full = 0.5, points_reset = 0.5, points_forgiven = 0.5;
+constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(3);
+// Legs: the share of the setup target that a leg may take while another could follow.
+constexpr double leg_patience = 0.6;
+constexpr Span crash_window = seconds(1);
+constexpr Span hold_step = millis(20);
+// The list: pause between asks, doubled up to a part of what lets drains be deemed told.
+constexpr Span first_ask_pause = millis(300), longest_ask_pause = seconds(2);
+
+enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again, probe_due };
+
+}  // namespace
+
+const std::array<Brain::Stage, 4> Brain::chain{{{&Brain::admit, &Brain::back_admit},
+                                                {&Brain::guard_effect, &Brain::back_guard},
+                                                {&Brain::place, &Brain::back_place},
+                                                {&Brain::send, &Brain::back_send}}};
+
+Brain::Brain(Deployment told, uint64_t seed, Actions& out, Instant now)
+    : told_(std::move(told)),
+      out_(out),
+      chance_(seed),
+      type_load_(told_.types.size()),
+      type_seen_(told_.types.size()),
+      ask_pause_(first_ask_pause) {
+    const int64_t term = now.ns / term_time.ns;
+    out_.set_timer(Instant{(term + 1) * term_time.ns}, term_begins);
+    if (told_.ask_list) ask_list(now);
+}
+
+// ---- the chain ----
+
+void Brain::run_chain(Instant now, Call& call) {
+    for (const Stage& stage : chain) {
+        const Verdict v = (this->*stage.there)(now, call);
+        if (v == Verdict::end) return give_up(now, call);
+        if (v == Verdict::pass_on) continue;
+        // Held only as long as the next look at it still comes before its guard time.
+        return call.guard - now > hold_step + told_.step * 2 ? hold(now, call) : give_up(now, call);
+    }
+}
+
+Brain::Verdict Brain::admit(Instant now, Call& call) {
+    return now < call.guard ? Verdict::pass_on : Verdict::end;
+}
+
+// Rule 2: no further leg for what must not run twice.
+Brain::Verdict Brain::guard_effect(Instant now, Call& call) {
+    if (static_cast<int>(call.legs.size()) >= told_.max_legs) return Verdict::end;
+    const TrafficType& type = told_.types[call.type];
+    if (call.may_have_run < 0 || type.effect == Effect::repeatable) return Verdict::pass_on;
+    if (type.effect == Effect::once_only) return Verdict::end;
+    return now - call.legs[call.may_have_run].sent < type.window ? Verdict::pass_on : Verdict::end;
+}
+
+Brain::Verdict Brain::place(Instant now, Call& call) {
+    const std::vector<Share> all = shares(now, &call);
+    if (all.empty()) return Verdict::keep;
+    std::vector<int> below;
+    const KeyNote* note = call.key.empty() ? nullptr : noted_key(now, call.key);
+    const bool back_in_pause = note && in_pause(now);
+    const double load = load_of(call);
+    const Share* least = nullptr;
+    double least_over = 0;
+    for (const Share& s : all) {
+        if (back_in_pause ? s.server != note->server : s.load + load <= s.share) below.push_back(s.server);
+        const double over = (s.load + load) / std::max(s.share, 1e-9);
+        if (!least || over < least_over) least = &s, least_over = over;
+    }
+    call.chosen = below.empty() ? least->server : pick(call, below);
+    call.spared = false;
+    if (back_in_pause)
+        for (const Share& s : all)
+            if (s.server == call.chosen) call.spared = s.load + load > s.share * saturation_band;
+    return Verdict::pass_on;
+}
+
+Brain::Verdict Brain::send(Instant now, Call& call) {
+    const Span left = call.guard - now;
+    const bool last = static_cast<int>(call.legs.size()) + 1 >= told_.max_legs;
+    const Span target = told_.types[call.type].setup_target;
+    const Span patience = last ? left : std::min(target * leg_patience, left * 0.5);
+    Server& s = servers_[call.chosen];
+    call.legs.push_back(Leg{call.chosen, now, true, false});
+    ++s.setting_up;
+    ++s.sent_in_term;
+    s.last_sent = now;
+    count(s, call);
+    out_.send_leg(call.id, s.listed.server, patience);
+    return Verdict::pass_on;
+}
+
+void Brain::back_send(Instant, Call& call, const Back& back) {
+    Leg& leg = call.legs[back.leg];
+    leg.out = leg.standing = false;
+}
+
+void Brain::back_place(Instant now, Call& call, const Back& back) {
+    const Leg& leg = call.legs[back.leg];
+    Server& s = servers_[leg.server];
+    if (back.ending == Ending::stopped || back.ending == Ending::not_sent) return;
+    if (back.stood && back.ending != Ending::completed) return broke(now, s);
+    if (leg.sent >= Instant{now.ns / term_time.ns * term_time.ns} && back.ending != Ending::completed)
+        ++s.lost_in_term;
+    if (back.ending == Ending::completed) return;
+    suspect(now, s, back.ending == Ending::full ? points_full : points_failed);
+    note_key(now, call, leg.server);
+}
+
+void Brain::back_guard(Instant, Call& call, const Back& back) {
+    const bool never_ran = back.ending == Ending::full || back.ending == Ending::connect_failed ||
+                           back.ending == Ending::not_sent;
+    if (!never_ran && call.may_have_run < 0) call.may_have_run = back.leg;
+}
+
+void Brain::back_admit(Instant, Call& call, const Back& back) {
+    if (back.final) forget(call.id);
+}
+
+// The answer comes at once when nothing more is tried: a reject where the rules let it, else a release.
+void Brain::give_up(Instant, Call& call) {
+    const TrafficType& type = told_.types[call.type];
+    const bool may_reject = call.may_have_run < 0 || type.effect == Effect::repeatable ||
+                            (type.effect == Effect::referenced && type.scope == Scope::all);
+    if (may_reject)
+        out_.reject(call.id, stay_away(call));
+    else
+        out_.release(call.id);
+    forget(call.id);
+}
+
+Span Brain::stay_away(const Call&) {
+    return told_.advises ? told_.max_advice * (0.3 + 0.7 * chance_.uniform()) : Span{};
+}
+
+void Brain::forget(CallId id) { calls_.erase(id); }
+
+void Brain::hold(Instant now, Call& call) {
+    if (!call.held) held_.push_back(call.id);
+    call.held = true;
+    if (!hold_timer_) out_.set_timer(now + hold_step, hold_over);
+    hold_timer_ = true;
+}
+
+// ---- shares (design 1) ----
+
+double Brain::usual_load() const {
+    double sum = 0, seen = 0;
+    for (size_t k = 0; k < type_load_.size(); ++k) sum += type_load_[k], seen += type_seen_[k];
+    return seen > 0 ? sum / seen : 1;
+}
+
+// Counts do not mirror load where types differ in it: a connection counts by its told load, else by what its
+// type was seen to need, in units of a usual connection.
+double Brain::load_of(const Call& call) const {
+    const double usual = usual_load();
+    if (call.load >= 0) return call.load / usual;
+    return type_seen_[call.type] > 0 ? type_load_[call.type] / type_seen_[call.type] / usual : 1;
+}
+
+double Brain::load_on(const Server& s) const {
+    const double usual = usual_load();
+    double load = s.told_load / usual;
+    for (size_t k = 0; k < s.untold.size(); ++k)
+        if (s.untold[k] > 0)
+            load += s.untold[k] * (type_seen_[k] > 0 ? type_load_[k] / type_seen_[k] / usual : 1);
+    return load;
+}
+
+double Brain::ramp(Instant now, const Server& s) const {
+    if (!s.warm_from || told_.cold_time.ns <= 0) return 1;
+    return std::clamp((now - *s.warm_from) / told_.cold_time, 0.0, 1.0);
+}
+
+bool Brain::cold(Instant now, const Server& s) const { return ramp(now, s) < 1; }
+
+double Brain::trust(Instant now, const Server& s) const { return 1 / (1 + distrust(now, s)); }
+
+bool Brain::usable(Instant now, const Server& s) const {
+    if (s.listed.condition != Condition::active || now < s.out_until || now < s.skip_until) return false;
+    return s.failures_in_row == 0 || s.setting_up == 0;  // a failing server is tried by one leg at a time
+}
+
+// Rule 4: every balancer of the group keeps to what fills its own share of the server over the warm-up.
+bool Brain::cold_budget_left(Instant now, const Server& s, double share) const {
+    if (!cold(now, s)) return true;
+    return now - s.last_sent >= told_.cold_time * (1 / std::max(1.0, share));
+}
+
+bool Brain::in_scope(const Call& call, const Server& s) const {
+    const TrafficType& type = told_.types[call.type];
+    if (call.may_have_run < 0 || type.effect != Effect::referenced || type.scope == Scope::all) return true;
+    const Listed& first = servers_[call.legs[call.may_have_run].server].listed;
+    return type.scope == Scope::zone ? s.listed.zone == first.zone : s.listed.cell == first.cell;
+}
+
+// The ready servers with what they hold and their share of all, the given call counted in. Where every server
+// fails, the ones skipped stand in for the missing: sane shares rather than none.
+std::vector<Brain::Share> Brain::shares(Instant now, const Call* call) {
+    std::vector<Share> all;
+    for (int round = 0; round < 2 && all.empty(); ++round) {
+        double total = call ? load_of(*call) : 0, weights = 0, full_weights = 0, connections = 0;
+        for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
+            const Server& s = servers_[k];
+            const double load = load_on(s);
+            total += load;
+            connections += static_cast<double>(s.standing.size());
+            const bool ready = round == 0 ? usable(now, s) : s.listed.condition == Condition::active;
+            if (!ready || (call && !in_scope(*call, s))) continue;
+            if (call && !call->legs.empty() && call->legs.back().server == k && round == 0) continue;
+            const double weight = std::max(s.listed.weight, 1e-3);
+            const double share = weight * ramp(now, s) * trust(now, s);
+            weights += share;
+            full_weights += weight;
+            all.push_back({k, load, share, s.listed.zone == told_.zone});
+        }
+        for (Share& s : all) s.share *= total / std::max(weights, 1e-9);
+        if (!call) continue;
+        std::erase_if(all, [&](const Share& s) {
+            const Server& server = servers_[s.server];
+            return !cold_budget_left(now, server, connections * server.listed.weight / full_weights);
+        });
+    }
+    return all;
+}
+
+// Random among the servers below share (design 3).
+int Brain::pick(const Call&, const std::vector<int>& from) {
+    return from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
+}
+
+void Brain::count(Server& s, Call& call) {
+    if (s.untold.empty()) s.untold.resize(told_.types.size());
+    call.slot = static_cast<int>(s.standing.size());
+    s.standing.push_back(call.id);
+    if (call.load >= 0)
+        s.told_load += call.load;
+    else
+        s.untold[call.type] += 1;
+    if (!call.group.empty()) ++s.groups[call.group];
+    if (call.spared) ++s.spared;
+}
+
+void Brain::uncount(Call& call) {
+    if (call.slot < 0) return;
+    Server& s = servers_[call.legs.back().server];
+    const CallId last = s.standing.back();
+    s.standing[call.slot] = last;
+    s.standing.pop_back();
+    if (last != call.id) calls_.at(last).slot = call.slot;
+    call.slot = -1;
+    if (call.load >= 0)
+        s.told_load -= call.load;
+    else
+        s.untold[call.type] -= 1;
+    if (const auto g = s.groups.find(call.group); g != s.groups.end() && --g->second == 0) s.groups.erase(g);
+    if (call.spared) --s.spared;
+}
+
+// ---- calls and legs ----
+
+void Brain::call_arrived(Instant now, Call call) {
+    const CallId id = call.id;
+    Call& kept = calls_[id] = std::move(call);
+    run_chain(now, kept);
+}
+
+void Brain::call_inherited(Instant now, Call call, const ServerId& server) {
+    if (!index_.count(server)) apply_listed(now, Listed{server, 1, Condition::left, 0, 0, {}});
+    Call& kept = calls_[call.id] = std::move(call);
+    kept.legs.push_back(Leg{index_.at(server), now, false, true});
+    kept.may_have_run = 0;
+    count(servers_[kept.legs[0].server], kept);
+}
+
+void Brain::call_gone(Instant, CallId id) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    Call& call = it->second;
+    if (!call.legs.empty() && call.legs.back().out) --servers_[call.legs.back().server].setting_up;
+    uncount(call);
+    forget(id);
+}
+
+void Brain::leg_stands(Instant now, CallId id, int n, Span) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || n < 0 || n >= static_cast<int>(it->second.legs.size())) return;
+    Leg& leg = it->second.legs[n];
+    if (!leg.out) return;
+    leg.out = false;
+    leg.standing = true;
+    Server& s = servers_[leg.server];
+    --s.setting_up;
+    if (it->second.may_have_run < 0) it->second.may_have_run = n;
+    // A server that broke all it held and answers again is a new process, cold, before the list says so.
+    if (s.restarted_unlisted) s.warm_from = now, s.restarted_unlisted = false;
+    s.failures_in_row = 0;
+    s.last_kept = now;
+    s.skip_until = Instant{};
+    s.distrust = std::max(0.0, distrust(now, s) - points_forgiven);
+    s.distrust_at = now;
+}
+
+void Brain::leg_ended(Instant now, CallId id, int n, Ending ending, Span took, bool final,
+                      const LoadReport& report) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || n < 0 || n >= static_cast<int>(it->second.legs.size())) return;
+    Call& call = it->second;
+    Leg& leg = call.legs[n];
+    Server& s = servers_[leg.server];
+    absorb(now, s, report);
+    if (!leg.out && !leg.standing) return;
+    if (leg.out) --s.setting_up;
+    uncount(call);
+    const Back back{n, ending, took, final, leg.standing};
+    for (auto stage = chain.rbegin(); stage != chain.rend(); ++stage) (this->*stage->back)(now, call, back);
+    if (!final) run_chain(now, call);
+}
+
+void Brain::move_call(Instant, Call& call) {
+    const CallId id = call.id;
+    out_.move(id);
+    uncount(call);
+    forget(id);
+}
+
+void Brain::load_told(Instant, CallId id, double micros) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.slot < 0 || !(micros >= 0)) return;
+    Call& call = it->second;
+    Server& s = servers_[call.legs.back().server];
+    if (call.load >= 0)
+        s.told_load += micros - call.load;
+    else
+        s.untold[call.type] -= 1, s.told_load += micros;
+    call.load = micros;
+    if (type_seen_[call.type] > 400) type_load_[call.type] /= 2, type_seen_[call.type] /= 2;
+    type_load_[call.type] += micros;
+    type_seen_[call.type] += 1;
+}
+
+// ---- distrust ----
+
+double Brain::distrust(Instant now, const Server& s) const {
+    return s.distrust * std::exp2(-((now - s.distrust_at) / distrust_half));
+}
+
+void Brain::suspect(Instant now, Server& s, double points) {
+    s.distrust = std::min(8.0, distrust(now, s) + points);
+    s.distrust_at = now;
+    s.failures_in_row = std::min(s.failures_in_row + 1, 10);
+    const Span skip = first_skip * static_cast<double>(1 << (s.failures_in_row - 1));
+    s.skip_until = std::max(s.skip_until, now + std::min(skip, longest_skip));
+}
+
+// Connections that break one after another: the process died, and what answers there next is a new one.
+void Brain::broke(Instant now, Server& s) {
+    s.resets = now - s.reset_at < crash_window ? s.resets + 1 : 1;
+    s.reset_at = now;
+    suspect(now, s, points_reset);
+    if (s.resets >= 2 && s.resets >= static_cast<int>(s.standing.size())) s.restarted_unlisted = true;
+}
+
+void Brain::delay_told(Instant, const ServerId&, double) {}
+
+void Brain::absorb(Instant, Server&, const LoadReport&) {}
+
+void Brain::probe_ended(Instant now, const ServerId& id, Ending, Span, const LoadReport& report) {
+    absorb(now, servers_[index_.at(id)], report);
+}
+
+// ---- terms (design 4 to 7) ----
+
+bool Brain::in_pause(Instant now) const { return now.ns % term_time.ns >= balance_time.ns; }
+
+void Brain::start_term(Instant now) {
+    judge_term(now);
+    out_.set_timer(now + shed_grace, term_sheds);
+    out_.set_timer(Instant{(now.ns / term_time.ns + 1) * term_time.ns}, term_begins);
+}
+
+void Brain::judge_term(Instant now) {
+    bool left_out = false;
+    for (Server& s : servers_) {
+        if (s.sent_in_term >= judged_from && s.sent_in_term - s.lost_in_term < s.sent_in_term * kept_share) {
+            s.out_until = now + term_time * terms_out;
+            left_out = true;
+        }
+        s.sent_in_term = s.lost_in_term = 0;
+    }
+    if (!left_out) return;
+    for (Server& s : servers_) {
+        s.excess.fill(0);
+        for (const CallId id : s.standing) calls_.at(id).spared = false;
+        s.spared = 0;
+    }
+}
+
+void Brain::plan_shedding(Instant now) {
+    const auto term = static_cast<size_t>(now.ns / term_time.ns % terms_kept);
+    for (Server& s : servers_) s.excess[term] = 0;
+    for (const Share& share : shares(now, nullptr)) {
+        Server& s = servers_[share.server];
+        const double excess = share.load - share.share;
+        if (share.load <= share.share * saturation_band || excess < saturation_floor) continue;
+        s.excess[term] = excess;
+        const double most = *std::max_element(s.excess.begin(), s.excess.end());
+        const int calls = std::max(least_shed, static_cast<int>(std::ceil(most / terms_kept)));
+        start_shedding(now, share.server, std::min(calls, static_cast<int>(excess)),
+                       balance_time - shed_grace);
+    }
+}
+
+void Brain::start_shedding(Instant now, int server, int calls, Span over) {
+    Server& s = servers_[server];
+    s.to_shed = calls;
+    s.shed_gap = over * (1.0 / std::max(1, calls));
+    if (s.shedding || calls <= 0) return;
+    s.shedding = true;
+    out_.set_timer(now + s.shed_gap * chance_.uniform(), shed_next | static_cast<uint64_t>(server) << 8);
+}
+
+void Brain::shed_one(Instant now, int server) {
+    Server& s = servers_[server];
+    s.shedding = false;
+    if (s.to_shed <= 0 || s.standing.empty()) return;
+    --s.to_shed;
+    const size_t from = static_cast<size_t>(chance_.uniform() * static_cast<double>(s.standing.size()));
+    for (size_t k = 0; k < s.standing.size(); ++k) {
+        Call& call = calls_.at(s.standing[(from + k) % s.standing.size()]);
+        if (call.spared || call.legs.empty() || !call.legs.back().standing) continue;
+        move_call(now, call);
+        break;
+    }
+    if (s.to_shed <= 0) return;
+    s.shedding = true;
+    out_.set_timer(now + s.shed_gap, shed_next | static_cast<uint64_t>(server) << 8);
+}
+
+void Brain::note_key(Instant now, const Call& call, int server) {
+    if (call.key.empty()) return;
+    while (!key_age_.empty() &&
+           (key_age_.size() >= keys_kept || now - key_age_.front().second > key_age_limit)) {
+        const auto it = keys_.find(key_age_.front().first);
+        if (it != keys_.end() && it->second.at == key_age_.front().second) keys_.erase(it);
+        key_age_.pop_front();
+    }
+    keys_[call.key] = KeyNote{server, now};
+    key_age_.emplace_back(call.key, now);
+}
+
+const Brain::KeyNote* Brain::noted_key(Instant now, const std::string& key) const {
+    const auto it = keys_.find(key);
+    return it != keys_.end() && now - it->second.at <= key_age_limit ? &it->second : nullptr;
+}
+
+// ---- the list ----
+
+void Brain::ask_list(Instant now) {
+    asked_ = true;
+    asked_at_ = now;
+    out_.watch_list();
+}
+
+void Brain::list_told(Instant now, ListKind kind, const std::vector<Listed>& entries) {
+    if (kind == ListKind::error) {
+        asked_ = watching_ = false;
+        if (told_.ask_list) out_.set_timer(now + ask_pause_ * (0.75 + 0.5 * chance_.uniform()), ask_again);
+        ask_pause_ = std::min(ask_pause_ * 2, longest_ask_pause);
+        return;
+    }
+    if (kind != ListKind::persisted) {
+        asked_ = false;
+        watching_ = true;
+        ask_pause_ = first_ask_pause;
+    }
+    for (const Listed& entry : entries) apply_listed(now, entry);
+    if (kind == ListKind::partial) return;
+    for (Server& s : servers_) {
+        const bool named = std::any_of(entries.begin(), entries.end(),
+                                       [&](const Listed& e) { return e.server == s.listed.server; });
+        if (!named) s.listed.condition = Condition::left;
+    }
+}
+
+void Brain::apply_listed(Instant now, const Listed& entry) {
+    const auto [it, is_new] = index_.emplace(entry.server, static_cast<int>(servers_.size()));
+    if (is_new) {
+        servers_.emplace_back();
+        servers_.back().listed = entry;
+        servers_.back().untold.resize(told_.types.size());
+        if (entry.launched) servers_.back().warm_from = entry.launched;
+        return;
+    }
+    Server& s = servers_[it->second];
+    const bool restarted = entry.launched && (!s.listed.launched || *entry.launched > *s.listed.launched);
+    s.listed = entry;
+    if (!restarted) return;
+    s.warm_from = entry.launched;
+    begin_anew(now, s);
+}
+
+// A new process under an old id holds nothing of the old one's connections.
+void Brain::begin_anew(Instant now, Server& s) {
+    s.distrust = 0;
+    s.failures_in_row = 0;
+    s.skip_until = s.out_until = Instant{};
+    s.excess.fill(0);
+    s.restarted_unlisted = false;
+    const std::vector<CallId> old = s.standing;
+    for (const CallId id : old) {
+        Call& call = calls_.at(id);
+        if (call.legs.back().standing && call.legs.back().sent < *s.warm_from) move_call(now, call);
+    }
+}
+
+void Brain::timer_rang(Instant now, uint64_t token) {
+    switch (token & 0xff) {
+        case term_begins:
+            return start_term(now);
+        case term_sheds:
+            return plan_shedding(now);
+        case shed_next:
+            return shed_one(now, static_cast<int>(token >> 8));
+        case ask_again:
+            return watching_ || asked_ ? void() : ask_list(now);
+        case hold_over: {
+            hold_timer_ = false;
+            std::deque<CallId> waiting;
+            waiting.swap(held_);
+            for (const CallId id : waiting) {
+                const auto it = calls_.find(id);
+                if (it == calls_.end() || !it->second.held) continue;
+                it->second.held = false;
+                run_chain(now, it->second);
+            }
+            return;
+        }
+        default:
+            return;
+    }
+}
+
+}  // namespace headrouter
--- /dev/null
+++ b/src/brain.h
@@ -0,0 +1,229 @@
+// The interface of the decision module: one Brain for each balancer. It is told what happens, in the order
+// in which it happens, and answers through an Actions sink. It reads no clock and no input of its own, so any
+// protocol that can tell these events may be put before it.
+#pragma once
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/bucket_ring.h"
+#include "base/pcg32.h"
+#include "base/time.h"
+
+namespace headrouter {
+
+using CallId = uint64_t;
+using ServerId = std::string;
+
+enum class Effect { repeatable, referenced, once_only };
+enum class Scope { all, zone, cell };
+enum class Condition { active, leaving, left };
+enum class ListKind { partial, complete, persisted, error };
+enum class Ending { completed, error, full, timed_out, connect_failed, reset, stopped, not_sent };
+
+// The table of what differs by traffic type: a row each, only what the module reads.
+struct TrafficType {
+    Effect effect = Effect::repeatable;
+    Scope scope = Scope::all;
+    Span setup_target, guard_time, window;
+    double revenue = 0;
+    Span message_target;  // zero where none is told
+};
+
+struct Tenant {
+    double connection_quota =
+        0;  // open connections over all balancers within its share; zero where none is told
+};
+
+// What a balancer is told once, when it starts.
+struct Deployment {
+    std::vector<TrafficType> types;
+    std::vector<Tenant> tenants;
+    int zone = 0, group_size = 1, max_legs = 1;
+    bool ask_list = false, pass_mode = false, groups = false, may_probe = false, advises = false;
+    bool probe_reports = false;
+    Span ask_every, park, max_advice, answer_slack, step;
+    Span cold_time, fall_time, drain_grace;
+    double cold_share = 1, fall_multiple = 1, cross_zone_price = 0, move_price = 0, surplus_revenue = 1;
+};
+
+struct Listed {
+    ServerId server;
+    double weight = 1;
+    Condition condition = Condition::active;
+    int zone = 0, cell = 0;
+    std::optional<Instant> launched;
+};
+
+struct Leg {
+    int server = -1;  // index into this instance's servers, in the order in which its lists named them
+    Instant sent;
+    bool out = false, standing = false;
+};
+
+struct Call {
+    CallId id = 0;
+    int type = 0, tenant = 0;
+    bool again = false, mid_flow = false;
+    std::string key, group;           // empty where the call has none
+    std::optional<Span> hinted_load;  // work a second
+    Instant guard;
+
+    std::vector<Leg> legs;
+    int may_have_run = -1;  // the first leg of which it is not known that it never ran
+    int chosen = -1;        // the server that the chain has settled on for the next leg
+    int slot = -1;          // place among its server's standing connections
+    double load = -1;       // told load in microseconds a second; negative until told
+    bool spared = false, held = false, moved = false;
+};
+
+struct LoadReport {
+    std::optional<double> load_share, busy, backlog;  // asked over capacity, cores in use, seconds piled up
+};
+
+class Actions {
+   public:
+    virtual ~Actions() = default;
+    virtual void send_leg(CallId, const ServerId&, Span time_out) = 0;
+    virtual void reject(CallId, Span stay_away) = 0;
+    virtual void release(CallId) = 0;
+    virtual void move(CallId) = 0;
+    virtual void set_timer(Instant, uint64_t token) = 0;
+    virtual void watch_list() = 0;
+    virtual void probe(const ServerId&) = 0;
+    virtual void log(const std::string&) = 0;
+};
+
+struct Server {
+    Listed listed;
+    bool restarted_unlisted = false;   // seen to come back after a break that the list has not told of yet
+    std::optional<Instant> warm_from;  // start of the warm-up, told or seen
+    std::vector<CallId> standing;
+    std::vector<double> untold;  // for each traffic type, connections whose load is not told
+    double told_load = 0;        // microseconds a second of the others
+    std::map<std::string, int> groups;
+    int setting_up = 0, spared = 0;
+    double distrust = 0;
+    Instant distrust_at;
+    int failures_in_row = 0;
+    Instant skip_until, out_until, slow_at, last_sent, last_kept, last_probe;
+    double slowness = 0;  // the longest a message was lately told to take here, over the shortest target
+    int sent_in_term = 0, lost_in_term = 0;
+    std::array<double, 6> excess{};
+    int to_shed = 0, resets = 0;
+    Span shed_gap;
+    bool shedding = false, probing = false;
+    Instant reset_at;
+};
+
+class Brain {
+   public:
+    Brain(Deployment, uint64_t seed, Actions&, Instant now);
+
+    void call_arrived(Instant, Call);
+    void call_inherited(Instant, Call, const ServerId&);
+    void call_gone(Instant, CallId);
+    void leg_stands(Instant, CallId, int leg, Span took);
+    void leg_ended(Instant, CallId, int leg, Ending, Span took, bool final, const LoadReport&);
+    void load_told(Instant, CallId, double micros_a_second);
+    void delay_told(Instant, const ServerId&, double millis);
+    void list_told(Instant, ListKind, const std::vector<Listed>&);
+    void timer_rang(Instant, uint64_t token);
+    void probe_ended(Instant, const ServerId&, Ending, Span took, const LoadReport&);
+
+    const Deployment& told() const { return told_; }
+    bool knows(const ServerId& id) const { return index_.count(id) > 0; }
+
+   private:
+    friend struct Peek;  // the tests build states directly
+    enum class Verdict { pass_on, keep, end };
+    struct Back {
+        int leg;
+        Ending ending;
+        Span took;
+        bool final, stood;
+    };
+    struct Stage {
+        Verdict (Brain::*there)(Instant, Call&);
+        void (Brain::*back)(Instant, Call&, const Back&);
+    };
+    struct Share {
+        int server;
+        double load, share;
+        bool own_zone;
+    };
+    struct KeyNote {
+        int server;
+        Instant at;
+    };
+    static const std::array<Stage, 4> chain;
+
+    void run_chain(Instant, Call&);
+    Verdict admit(Instant, Call&);
+    Verdict guard_effect(Instant, Call&);
+    Verdict place(Instant, Call&);
+    Verdict send(Instant, Call&);
+    void back_admit(Instant, Call&, const Back&);
+    void back_guard(Instant, Call&, const Back&);
+    void back_place(Instant, Call&, const Back&);
+    void back_send(Instant, Call&, const Back&);
+
+    void give_up(Instant, Call&);
+    void forget(CallId);
+    void hold(Instant, Call&);
+    bool in_scope(const Call&, const Server&) const;
+    std::vector<Share> shares(Instant, const Call*);
+    double trust(Instant, const Server&) const;
+    double ramp(Instant, const Server&) const;
+    bool cold(Instant, const Server&) const;
+    bool usable(Instant, const Server&) const;
+    bool cold_budget_left(Instant, const Server&, double share) const;
+    double usual_load() const;
+    double load_of(const Call&) const;
+    double load_on(const Server&) const;
+    double distrust(Instant, const Server&) const;
+    void broke(Instant, Server&);
+    void suspect(Instant, Server&, double points);
+    void count(Server&, Call&);
+    void uncount(Call&);
+    void move_call(Instant, Call&);
+    int pick(const Call&, const std::vector<int>&);
+    bool in_pause(Instant) const;
+    void start_term(Instant);
+    void plan_shedding(Instant);
+    void judge_term(Instant);
+    void shed_one(Instant, int server);
+    void start_shedding(Instant, int server, int calls, Span over);
+    void note_key(Instant, const Call&, int server);
+    const KeyNote* noted_key(Instant, const std::string&) const;
+    void apply_listed(Instant, const Listed&);
+    void begin_anew(Instant, Server&);
+    void ask_list(Instant);
+    void absorb(Instant, Server&, const LoadReport&);
+    void probe_next(Instant);
+    Span stay_away(const Call&);
+
+    Deployment told_;
+    Actions& out_;
+    Pcg32 chance_;
+    std::vector<Server> servers_;
+    std::map<ServerId, int> index_;
+    std::unordered_map<CallId, Call> calls_;
+    std::deque<CallId> held_;
+    std::vector<double> type_load_, type_seen_;
+    std::map<std::string, KeyNote> keys_;
+    std::deque<std::pair<std::string, Instant>> key_age_;
+    double usual_setup_ = 0;  // seconds, of set-ups that were kept
+    bool asked_ = false, watching_ = false, hold_timer_ = false;
+    Instant asked_at_;
+    Span ask_pause_;
+    int probe_turn_ = 0;
+};
+
+}  // namespace headrouter
--- /dev/null
+++ b/src/wire/decode.cpp
@@ -0,0 +1,329 @@
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+
+#include <cmath>
+
+#include "wire/wire.h"
+
+namespace headrouter {
+namespace {
+
+using Json = rapidjson::Value;
+
+const Json* find(const Json& o, const char* name) {
+    const auto it = o.FindMember(name);
+    return it == o.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
+}
+
+const Json& need(const Json& o, const char* name) {
+    const Json* v = find(o, name);
+    if (!v) throw Malformed(std::string("field '") + name + "' is missing");
+    return *v;
+}
+
+[[noreturn]] void wrong(const char* name, const char* wanted) {
+    throw Malformed(std::string("field '") + name + "' is not " + wanted);
+}
+
+int64_t integer(const Json& o, const char* name) {
+    const Json& v = need(o, name);
+    if (!v.IsInt64()) wrong(name, "a whole number");
+    return v.GetInt64();
+}
+
+int64_t natural(const Json& o, const char* name) {
+    const int64_t n = integer(o, name);
+    if (n < 0) wrong(name, "a whole number from 0 on");
+    return n;
+}
+
+int small(const Json& o, const char* name) {
+    const int64_t n = integer(o, name);
+    if (n < 0 || n > 1'000'000'000) wrong(name, "a small number from 0 on");
+    return static_cast<int>(n);
+}
+
+int small_or_zero(const Json& o, const char* name) { return find(o, name) ? small(o, name) : 0; }
+
+double real(const Json& o, const char* name) {
+    const Json& v = need(o, name);
+    if (!v.IsNumber()) wrong(name, "a number");
+    return v.GetDouble();
+}
+
+double real_or(const Json& o, const char* name, double otherwise) {
+    return find(o, name) ? real(o, name) : otherwise;
+}
+
+bool flag(const Json& o, const char* name) {
+    const Json& v = need(o, name);
+    if (!v.IsBool()) wrong(name, "a bool");
+    return v.GetBool();
+}
+
+bool flag_or(const Json& o, const char* name, bool otherwise) {
+    return find(o, name) ? flag(o, name) : otherwise;
+}
+
+std::string text(const Json& o, const char* name) {
+    const Json& v = need(o, name);
+    if (!v.IsString()) wrong(name, "a text");
+    return {v.GetString(), v.GetStringLength()};
+}
+
+std::string text_or(const Json& o, const char* name, const char* otherwise) {
+    return find(o, name) ? text(o, name) : otherwise;
+}
+
+Span span(const Json& o, const char* name) { return {integer(o, name)}; }
+Span span_or_zero(const Json& o, const char* name) { return find(o, name) ? span(o, name) : Span{}; }
+
+const Json& object(const Json& o, const char* name) {
+    const Json& v = need(o, name);
+    if (!v.IsObject()) wrong(name, "an object");
+    return v;
+}
+
+const Json& array(const Json& o, const char* name) {
+    const Json& v = need(o, name);
+    if (!v.IsArray()) wrong(name, "an array");
+    return v;
+}
+
+template <class Value>
+Value one_of(const Json& o, const char* name, std::initializer_list<std::pair<const char*, Value>> words) {
+    const std::string word = text(o, name);
+    for (const auto& [known, value] : words)
+        if (word == known) return value;
+    throw Malformed(std::string("field '") + name + "' has the unknown value '" + word + "'");
+}
+
+Ending ending(const Json& f) {
+    return one_of<Ending>(f, "ending",
+                          {{"S", Ending::completed},
+                           {"E", Ending::error},
+                           {"F", Ending::full},
+                           {"T", Ending::timed_out},
+                           {"C", Ending::connect_failed},
+                           {"R", Ending::reset},
+                           {"X", Ending::stopped},
+                           {"N", Ending::not_sent}});
+}
+
+LoadReport report(const Json& f) {
+    LoadReport r;
+    if (!find(f, "report")) return r;
+    const Json& o = object(f, "report");
+    if (find(o, "x0")) r.load_share = real(o, "x0");
+    if (find(o, "busy")) r.busy = real(o, "busy");
+    if (find(o, "x1")) r.backlog = real(o, "x1");
+    return r;
+}
+
+Call call(const Json& f, const Deployment& told) {
+    Call c;
+    c.id = static_cast<CallId>(natural(f, "ref"));
+    c.type = small(f, "kind");
+    if (c.type >= static_cast<int>(told.types.size()))
+        wrong("kind", "one of the traffic types told at start");
+    c.tenant = small_or_zero(f, "account");
+    if (!told.tenants.empty() && c.tenant >= static_cast<int>(told.tenants.size()))
+        wrong("account", "one of the tenants told at start");
+    c.again = flag(f, "again");
+    c.mid_flow = flag(f, "midFlow");
+    c.key = text_or(f, "affinity", "");
+    c.group = text_or(f, "room", "");
+    if (find(f, "costNs")) c.hinted_load = Span{natural(f, "costNs")};
+    c.guard = Instant{integer(f, "validUntilNs")};
+    return c;
+}
+
+std::vector<Listed> entries(const Json& f, ListKind kind) {
+    std::vector<Listed> all;
+    if (kind == ListKind::error && !find(f, "lines")) return all;
+    for (const Json& e : array(f, "lines").GetArray()) {
+        if (!e.IsObject()) wrong("lines", "an array of objects");
+        Listed l;
+        l.server = text(e, "server");
+        l.weight = real(e, "units");
+        if (!(l.weight >= 0) || !std::isfinite(l.weight)) wrong("units", "a number from 0 on");
+        l.condition = one_of<Condition>(
+            e, "condition",
+            {{"active", Condition::active}, {"leaving", Condition::leaving}, {"left", Condition::left}});
+        l.zone = small_or_zero(e, "failureDomain");
+        l.cell = small_or_zero(e, "pod");
+        if (find(e, "launchedNs") && integer(e, "launchedNs") != 0)
+            l.launched = Instant{integer(e, "launchedNs")};
+        all.push_back(std::move(l));
+    }
+    return all;
+}
+
+Deployment deployment(const Json& o) {
+    Deployment d;
+    const Json empty(rapidjson::kObjectType);
+    const Json& domain = find(o, "domain") ? object(o, "domain") : empty;
+    const Json& ceilings = object(o, "ceilings");
+    const Json& rules = object(o, "invariants");
+    for (const Json& t : array(o, "trafficTypes").GetArray()) {
+        if (!t.IsObject()) wrong("trafficTypes", "an array of objects");
+        TrafficType row;
+        row.effect = one_of<Effect>(t, "effect",
+                                    {{"pure", Effect::repeatable},
+                                     {"token", Effect::referenced},
+                                     {"side_effect", Effect::once_only}});
+        if (find(t, "keyScope"))
+            row.scope = one_of<Scope>(t, "keyScope",
+                                      {{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}});
+        row.setup_target = span(t, "setupTargetNs");
+        row.guard_time = span(t, "guardTimeNs");
+        row.window = span_or_zero(t, "windowNs");
+        row.revenue = real_or(t, "revenue", 1);
+        d.types.push_back(row);
+    }
+    if (d.types.empty()) wrong("trafficTypes", "a list with at least one traffic type");
+    if (find(domain, "messageAimNs")) {
+        const Json& aims = array(domain, "messageAimNs");
+        for (size_t k = 0; k < d.types.size() && k < aims.Size(); ++k) {
+            if (!aims[static_cast<rapidjson::SizeType>(k)].IsInt64())
+                wrong("messageAimNs", "a list of whole numbers");
+            d.types[k].message_target = Span{aims[static_cast<rapidjson::SizeType>(k)].GetInt64()};
+        }
+    }
+    if (find(o, "realms")) d.tenants.resize(array(o, "realms").Size());
+    if (find(domain, "tenantQuotaConnections")) {
+        const Json& quotas = array(domain, "tenantQuotaConnections");
+        for (size_t k = 0; k < d.tenants.size() && k < quotas.Size(); ++k) {
+            const Json& quota = quotas[static_cast<rapidjson::SizeType>(k)];
+            if (quota.IsNull()) continue;  // a tenant without one
+            if (!quota.IsNumber()) wrong("tenantQuotaConnections", "a list of numbers");
+            d.tenants[k].connection_quota = quota.GetDouble();
+        }
+    }
+    d.zone = small_or_zero(o, "az");
+    d.group_size = std::max(1, small(o, "groupSize"));
+    d.max_legs = small(ceilings, "maxLegs");
+    d.may_probe = flag_or(ceilings, "probing", false);
+    d.advises = flag_or(ceilings, "retryAfter", false);
+    d.max_advice = span_or_zero(ceilings, "maxRetryAfterNs");
+    d.ask_list = one_of<bool>(o, "discovery", {{"push", false}, {"ask", true}});
+    d.pass_mode = text_or(domain, "mode", "proxy") == "pass";
+    d.groups = flag_or(domain, "groups", false);
+    d.park = span_or_zero(domain, "parkNs");
+    if (find(o, "report")) {
+        const Json& reports = object(o, "report");
+        d.probe_reports = text_or(reports, "how", "silent") == "pull";
+    }
+    d.step = span_or_zero(o, "stepNs");
+    d.ask_every = span_or_zero(rules, "askEveryNs");
+    d.answer_slack = span_or_zero(rules, "answerSlackNs");
+    d.cold_time = span(rules, "coldNs");
+    d.cold_share = real(rules, "coldShare");
+    d.drain_grace = span(rules, "drainGraceNs");
+    d.fall_multiple = real(rules, "fallMultiple");
+    d.fall_time = span(rules, "fallNs");
+    if (find(o, "charges")) {
+        d.cross_zone_price = real_or(object(o, "charges"), "crossZone", 0);
+        d.move_price = real_or(object(o, "charges"), "moves", 0);
+    }
+    d.surplus_revenue = real_or(o, "surplusRevenue", 1);
+    return d;
+}
+
+void parse(rapidjson::Document& doc, const std::string& line) {
+    doc.Parse<rapidjson::kParseValidateEncodingFlag>(line.data(), line.size());
+    if (doc.HasParseError())
+        throw Malformed(std::string("not JSON: ") + rapidjson::GetParseError_En(doc.GetParseError()));
+}
+
+}  // namespace
+
+Deployment deployment_from(const std::string& json) {
+    rapidjson::Document doc;
+    parse(doc, json);
+    if (!doc.IsObject()) throw Malformed("the settings are not an object");
+    return deployment(doc);
+}
+
+bool Instances::take(const std::string& line) {
+    rapidjson::Document doc;
+    parse(doc, line);
+    if (!doc.IsObject() || doc.MemberCount() != 1 || !doc.MemberBegin()->value.IsObject())
+        throw Malformed("a message is an object with a single key and an object beneath it");
+    const std::string event = doc.MemberBegin()->name.GetString();
+    const Json& f = doc.MemberBegin()->value;
+
+    if (event == "Clock") {
+        if (open_) throw Malformed("a batch begins before the last one has ended");
+        const Instant now{integer(f, "momentNs")};
+        if (clock_seen_ && now < now_) throw Malformed("the clock goes back");
+        now_ = now;
+        open_ = clock_seen_ = true;
+        reply_.clear();
+        return false;
+    }
+    if (!open_) throw Malformed("'" + event + "' stands outside a batch");
+    if (event == "EofBatch") {
+        open_ = false;
+        reply_ += "{\"Finished\":{}}\n";
+        return true;
+    }
+    const int i = small(f, "i");
+    if (event == "Spawn") {
+        const int64_t seed = integer(f, "prng");
+        Deployment told = deployment(object(f, "bootInfo"));
+        if (lives_.count(i)) throw Malformed("instance " + std::to_string(i) + " is started twice");
+        Life life;
+        life.out = std::make_unique<LineActions>(i, reply_);
+        life.brain = std::make_unique<Brain>(std::move(told), static_cast<uint64_t>(seed), *life.out, now_);
+        lives_.emplace(i, std::move(life));
+        return false;
+    }
+    const auto found = lives_.find(i);
+    if (found == lives_.end()) throw Malformed("instance " + std::to_string(i) + " was never started");
+    Brain& brain = *found->second.brain;
+    const auto server_known = [&] {
+        std::string server = text(f, "server");
+        if (!brain.knows(server))
+            throw Malformed("server '" + server + "' stands in no list of this instance");
+        return server;
+    };
+    const auto id = [&] { return static_cast<CallId>(natural(f, "ref")); };
+    if (event == "Killed") {
+        lives_.erase(found);
+    } else if (event == "JobIn") {
+        brain.call_arrived(now_, call(f, brain.told()));
+    } else if (event == "Inherited") {
+        brain.call_inherited(now_, call(f, brain.told()), text(f, "server"));
+    } else if (event == "Dropped") {
+        brain.call_gone(now_, id());
+    } else if (event == "Established") {
+        brain.leg_stands(now_, id(), small(f, "seqNo"), span(f, "costTimeNs"));
+    } else if (event == "Returned") {
+        brain.leg_ended(now_, id(), small(f, "seqNo"), ending(f), span(f, "costTimeNs"), flag(f, "final"),
+                        report(f));
+    } else if (event == "UpdateOf") {
+        const int sort = small(f, "sort");
+        if (sort == 1) brain.load_told(now_, id(), real(f, "x"));
+        if (sort == 2) brain.delay_told(now_, server_known(), real(f, "x"));
+    } else if (event == "Ring") {
+        brain.timer_rang(now_, static_cast<uint64_t>(natural(f, "cookie")));
+    } else if (event == "Probed") {
+        brain.probe_ended(now_, server_known(), ending(f), span(f, "costTimeNs"), report(f));
+    } else if (event == "Discovery") {
+        const ListKind kind = one_of<ListKind>(f, "mode",
+                                               {{"Partial", ListKind::partial},
+                                                {"Complete", ListKind::complete},
+                                                {"Persisted", ListKind::persisted},
+                                                {"Error", ListKind::error}});
+        brain.list_told(now_, kind, entries(f, kind));
+    } else if (event == "Mail") {
+        natural(f, "by");
+        text(f, "contents");
+    } else {
+        throw Malformed("unknown event '" + event + "'");
+    }
+    return false;
+}
+
+}  // namespace headrouter
--- /dev/null
+++ b/src/wire/wire.h
@@ -0,0 +1,57 @@
+// The simulator's JSON lines: in, straight into the plain types of brain.h and a Brain's ear; out, from a
+// Brain's actions to lines. What cannot be read is thrown as Malformed, never guessed.
+#pragma once
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include "brain.h"
+
+namespace headrouter {
+
+struct Malformed : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+class LineActions : public Actions {
+   public:
+    LineActions(int instance, std::string& reply) : i_(instance), reply_(reply) {}
+    void send_leg(CallId, const ServerId&, Span time_out) override;
+    void reject(CallId, Span stay_away) override;
+    void release(CallId) override;
+    void move(CallId) override;
+    void set_timer(Instant, uint64_t token) override;
+    void watch_list() override;
+    void probe(const ServerId&) override;
+    void log(const std::string&) override;
+
+   private:
+    void open(const char* action);
+    void id(CallId);
+    int i_;
+    std::string& reply_;
+};
+
+class Instances {
+   public:
+    // Takes one line; returns true when it closed a batch, whose reply then stands in `reply()`.
+    bool take(const std::string& line);
+    std::string& reply() { return reply_; }
+    bool in_batch() const { return open_; }
+
+   private:
+    struct Life {
+        std::unique_ptr<LineActions> out;
+        std::unique_ptr<Brain> brain;
+    };
+    std::map<int, Life> lives_;
+    std::string reply_;
+    Instant now_{};
+    bool open_ = false, clock_seen_ = false;
+};
+
+// One JSON object of settings, as the start of an instance hands it over.
+Deployment deployment_from(const std::string& json);
+
+}  // namespace headrouter
