A group's chance is drawn from its name, so that all balancers draw the same server

Cause: every server holding a group pays for it once; random placing spread each group over all servers. Departure: among the servers below share (up to 1.25 of it) the draw for a call with a group is hashed from group and server.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -29,6 +29,8 @@
 constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(3);
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
+// Groups: how far over share a server may go for a group's members.
+constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
@@ -36,6 +38,12 @@
 
 enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again, probe_due };
 
+uint64_t hash_of(const std::string& text) {
+    uint64_t h = 1469598103934665603ULL;
+    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    return h ^ h >> 29;
+}
+
 }  // namespace
 
 const std::array<Brain::Stage, 4> Brain::chain{{{&Brain::admit, &Brain::back_admit},
@@ -90,7 +98,7 @@
     const Share* least = nullptr;
     double least_over = 0;
     for (const Share& s : all) {
-        if (back_in_pause ? s.server != note->server : s.load + load <= s.share) below.push_back(s.server);
+        if (back_in_pause ? s.server != note->server : s.load + load <= s.share * (call.group.empty() ? 1 : group_slack)) below.push_back(s.server);
         const double over = (s.load + load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
@@ -251,9 +259,22 @@
     return all;
 }
 
-// Random among the servers below share (design 3).
-int Brain::pick(const Call&, const std::vector<int>& from) {
-    return from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
+// Random among the servers below share (design 3). Members of a group share work on the server that holds them,
+// and balancers share nothing, so a group's chance is drawn from its name: every balancer draws the same server.
+int Brain::pick(const Call& call, const std::vector<int>& from) {
+    if (call.group.empty()) return from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
+    const std::vector<double>& draws = draws_of(call.group);
+    return *std::min_element(from.begin(), from.end(), [&](int a, int b) { return draws[a] < draws[b]; });
+}
+
+const std::vector<double>& Brain::draws_of(const std::string& group) {
+    std::vector<double>& draws = draws_[group];
+    while (draws.size() < servers_.size()) {
+        const Listed& listed = servers_[draws.size()].listed;
+        const double u = Pcg32(hash_of(group), hash_of(listed.server)).uniform();
+        draws.push_back(-std::log(u) / std::max(listed.weight, 1e-3));
+    }
+    return draws;
 }
 
 void Brain::count(Server& s, Call& call) {
--- a/src/brain.h
+++ b/src/brain.h
@@ -193,6 +193,7 @@
     void count(Server&, Call&);
     void uncount(Call&);
     void move_call(Instant, Call&);
+    const std::vector<double>& draws_of(const std::string& group);
     int pick(const Call&, const std::vector<int>&);
     bool in_pause(Instant) const;
     void start_term(Instant);
@@ -216,6 +217,7 @@
     std::map<ServerId, int> index_;
     std::unordered_map<CallId, Call> calls_;
     std::deque<CallId> held_;
+    std::unordered_map<std::string, std::vector<double>> draws_;  // looked up only, never walked
     std::vector<double> type_load_, type_seen_;
     std::map<std::string, KeyNote> keys_;
     std::deque<std::pair<std::string, Instant>> key_age_;
