--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,6 +30,7 @@
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
 // Groups: how far over share a server may go for a group's members.
+constexpr double foreign_weight = 0.2;
 constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -98,7 +99,9 @@
     const Share* least = nullptr;
     double least_over = 0;
     for (const Share& s : all) {
-        if (back_in_pause ? s.server != note->server : s.load + load <= s.share * (call.group.empty() ? 1 : group_slack)) below.push_back(s.server);
+        if (back_in_pause ? s.server != note->server
+                          : s.load + load <= s.share * (call.group.empty() ? 1 : group_slack))
+            below.push_back(s.server);
         const double over = (s.load + load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
@@ -209,6 +212,12 @@
 
 bool Brain::cold(Instant now, const Server& s) const { return ramp(now, s) < 1; }
 
+// Crossing zones is priced: a server of another zone counts for less, where the price is told.
+double Brain::base_weight(const Server& s) const {
+    const double weight = std::max(s.listed.weight, 1e-3);
+    return s.listed.zone == told_.zone || told_.cross_zone_price <= 0 ? weight : weight * foreign_weight;
+}
+
 double Brain::trust(Instant now, const Server& s) const { return 1 / (1 + distrust(now, s)); }
 
 bool Brain::usable(Instant now, const Server& s) const {
@@ -243,7 +252,7 @@
             const bool ready = round == 0 ? usable(now, s) : s.listed.condition == Condition::active;
             if (!ready || (call && !in_scope(*call, s))) continue;
             if (call && !call->legs.empty() && call->legs.back().server == k && round == 0) continue;
-            const double weight = std::max(s.listed.weight, 1e-3);
+            const double weight = base_weight(s);
             const double share = weight * ramp(now, s) * trust(now, s);
             weights += share;
             full_weights += weight;
@@ -253,16 +262,18 @@
         if (!call) continue;
         std::erase_if(all, [&](const Share& s) {
             const Server& server = servers_[s.server];
-            return !cold_budget_left(now, server, connections * server.listed.weight / full_weights);
+            return !cold_budget_left(now, server, connections * base_weight(server) / full_weights);
         });
     }
     return all;
 }
 
-// Random among the servers below share (design 3). Members of a group share work on the server that holds them,
-// and balancers share nothing, so a group's chance is drawn from its name: every balancer draws the same server.
+// Random among the servers below share (design 3). Members of a group share work on the server that holds
+// them, and balancers share nothing, so a group's chance is drawn from its name: every balancer draws the
+// same server.
 int Brain::pick(const Call& call, const std::vector<int>& from) {
-    if (call.group.empty()) return from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
+    if (call.group.empty())
+        return from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
     const std::vector<double>& draws = draws_of(call.group);
     return *std::min_element(from.begin(), from.end(), [&](int a, int b) { return draws[a] < draws[b]; });
 }
@@ -272,7 +283,7 @@
     while (draws.size() < servers_.size()) {
         const Listed& listed = servers_[draws.size()].listed;
         const double u = Pcg32(hash_of(group), hash_of(listed.server)).uniform();
-        draws.push_back(-std::log(u) / std::max(listed.weight, 1e-3));
+        draws.push_back(-std::log(u) / base_weight(servers_[draws.size()]));
     }
     return draws;
 }
--- a/src/brain.h
+++ b/src/brain.h
@@ -179,6 +179,7 @@
     void hold(Instant, Call&);
     bool in_scope(const Call&, const Server&) const;
     std::vector<Share> shares(Instant, const Call*);
+    double base_weight(const Server&) const;
     double trust(Instant, const Server&) const;
     double ramp(Instant, const Server&) const;
     bool cold(Instant, const Server&) const;
