Slow servers shed by the growth of message delay, and a ceiling keeps them from more

Its growth a second is the excess over capacity, the same at every balancer, so each sheds the same part and places nothing above the ceiling; when all are at theirs, the call is rejected at once with advice.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,6 +31,10 @@
 constexpr double leg_patience = 0.6;
 // Groups: how far over share a server may go for a group's members.
 constexpr double foreign_weight = 0.2;
+// Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
+// cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
+constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
+constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -59,6 +63,9 @@
       type_load_(told_.types.size()),
       type_seen_(told_.types.size()),
       ask_pause_(first_ask_pause) {
+    shortest_message_ = seconds(1000);
+    for (const TrafficType& t : told_.types)
+        if (t.message_target.ns > 0) shortest_message_ = std::min(shortest_message_, t.message_target);
     const int64_t term = now.ns / term_time.ns;
     out_.set_timer(Instant{(term + 1) * term_time.ns}, term_begins);
     if (told_.ask_list) ask_list(now);
@@ -99,12 +106,16 @@
     const Share* least = nullptr;
     double least_over = 0;
     for (const Share& s : all) {
-        if (back_in_pause ? s.server != note->server
-                          : s.load + load <= s.share * (call.group.empty() ? 1 : group_slack))
+        if (back_in_pause
+                ? s.server != note->server
+                : s.load + load <= std::min(s.share * (call.group.empty() ? 1 : group_slack), s.ceiling))
             below.push_back(s.server);
+        if (s.load + load > s.ceiling) continue;
         const double over = (s.load + load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
+    if (below.empty() && !least)
+        return Verdict::end;  // every server is slow already: more would serve nobody
     call.chosen = below.empty() ? least->server : pick(call, below);
     call.spared = false;
     if (back_in_pause)
@@ -256,9 +267,9 @@
             const double share = weight * ramp(now, s) * trust(now, s);
             weights += share;
             full_weights += weight;
-            all.push_back({k, load, share, s.listed.zone == told_.zone});
+            all.push_back({k, load, share, ceiling_of(now, s)});
         }
-        for (Share& s : all) s.share *= total / std::max(weights, 1e-9);
+        spread(all, total, weights);
         if (!call) continue;
         std::erase_if(all, [&](const Share& s) {
             const Server& server = servers_[s.server];
@@ -268,6 +279,25 @@
     return all;
 }
 
+// Weighted shares, none above its ceiling; what a ceiling keeps off goes to the others by weight.
+void Brain::spread(std::vector<Share>& all, double total, double weights) {
+    std::vector<Share*> open;
+    for (Share& s : all) open.push_back(&s);
+    for (bool capped = true; capped && weights > 1e-9;) {
+        capped = false;
+        const double each = std::max(0.0, total) / weights;
+        std::erase_if(open, [&](Share* s) {
+            if (s->share * each <= s->ceiling) return false;
+            weights -= s->share;
+            total -= s->ceiling;
+            s->share = s->ceiling;
+            return capped = true;
+        });
+        if (!capped)
+            for (Share* s : open) s->share *= each;
+    }
+}
+
 // Random among the servers below share (design 3). Members of a group share work on the server that holds
 // them, and balancers share nothing, so a group's chance is drawn from its name: every balancer draws the
 // same server.
@@ -420,7 +450,46 @@
     if (s.resets >= 2 && s.resets >= static_cast<int>(s.standing.size())) s.restarted_unlisted = true;
 }
 
-void Brain::delay_told(Instant, const ServerId&, double) {}
+// How long a message takes is work piled up: its growth in a second is what the server was asked beyond what
+// it can do. Every balancer hears the same and sheds the same part, so nobody needs to know the others'
+// counts.
+void Brain::delay_told(Instant now, const ServerId& id, double ms) {
+    Server& s = servers_[index_.at(id)];
+    const double delay = ms / 1000, gap = in_seconds(now - s.slow_at);
+    const double slope = s.slow_at.ns > 0 && gap < 2.5 ? (delay - s.delay) / std::max(gap, 0.2) : delay;
+    s.slow_at = now;
+    s.delay = delay;
+    const double load = load_on(s), asked = std::clamp(1 + slope, 0.5, 2.5);
+    const double wanted = std::max(least_use, good_use - delay / backlog_time);
+    double ceiling = ceiling_of(now, s);
+    if (delay < in_seconds(shortest_message_) * slow_from) {
+        ceiling = std::min(ceiling, load);
+    } else {
+        ceiling = std::min(ceiling, load * std::min(1.0, wanted / asked));
+        const double excess = load - ceiling;
+        const double each = load / std::max<double>(1, static_cast<double>(s.standing.size()));
+        const int server = index_.at(id);
+        if (excess > 0) start_shedding(now, server, static_cast<int>(std::ceil(excess / each)), seconds(0.8));
+    }
+    s.ceiling = ceiling;
+    s.ceiling_at = now;
+}
+
+// Seconds of fading distrust bring back what the notes took: a share of a usual server's load each second.
+double Brain::ceiling_of(Instant now, const Server& s) const {
+    if (s.ceiling < 0) return unbounded;
+    const double t = in_seconds(now - s.ceiling_at);
+    return t > ceiling_life ? unbounded : s.ceiling + t * ceiling_growth * std::max(1.0, full_share(s));
+}
+
+double Brain::full_share(const Server& s) const {
+    double load = 0, weights = 0;
+    for (const Server& other : servers_) {
+        load += load_on(other);
+        if (other.listed.condition == Condition::active) weights += base_weight(other);
+    }
+    return weights > 0 ? load * base_weight(s) / weights : 0;
+}
 
 void Brain::absorb(Instant, Server&, const LoadReport&) {}
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -113,7 +113,9 @@
     Instant distrust_at;
     int failures_in_row = 0;
     Instant skip_until, out_until, slow_at, last_sent, last_kept, last_probe;
-    double slowness = 0;  // the longest a message was lately told to take here, over the shortest target
+    double delay = 0;     // seconds that a message was last told to take here
+    double ceiling = -1;  // load above which messages were told to be slow; negative while none were
+    Instant ceiling_at;
     int sent_in_term = 0, lost_in_term = 0;
     std::array<double, 6> excess{};
     int to_shed = 0, resets = 0;
@@ -156,7 +158,7 @@
     struct Share {
         int server;
         double load, share;
-        bool own_zone;
+        double ceiling;
     };
     struct KeyNote {
         int server;
@@ -180,6 +182,9 @@
     bool in_scope(const Call&, const Server&) const;
     std::vector<Share> shares(Instant, const Call*);
     double base_weight(const Server&) const;
+    static void spread(std::vector<Share>&, double total, double weights);
+    double ceiling_of(Instant, const Server&) const;
+    double full_share(const Server&) const;
     double trust(Instant, const Server&) const;
     double ramp(Instant, const Server&) const;
     bool cold(Instant, const Server&) const;
@@ -222,7 +227,7 @@
     std::vector<double> type_load_, type_seen_;
     std::map<std::string, KeyNote> keys_;
     std::deque<std::pair<std::string, Instant>> key_age_;
-    double usual_setup_ = 0;  // seconds, of set-ups that were kept
+    Span shortest_message_;
     bool asked_ = false, watching_ = false, hold_timer_ = false;
     Instant asked_at_;
     Span ask_pause_;
