--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -553,16 +553,25 @@
     s.shedding = false;
     if (s.to_shed <= 0 || s.standing.empty()) return;
     --s.to_shed;
+    if (const CallId id = victim(s)) move_call(now, calls_.at(id));
+    if (s.to_shed <= 0) return;
+    s.shedding = true;
+    out_.set_timer(now + s.shed_gap, shed_next | static_cast<uint64_t>(server) << 8);
+}
+
+// Spared keys stay until their server is balanced and go first after that (design 6). Of the others the one
+// whose group has the fewest members here: the server is soonest rid of work that only that group needs.
+CallId Brain::victim(const Server& s) {
     const size_t from = static_cast<size_t>(chance_.uniform() * static_cast<double>(s.standing.size()));
+    const Call* best = nullptr;
+    int fewest = 0;
     for (size_t k = 0; k < s.standing.size(); ++k) {
-        Call& call = calls_.at(s.standing[(from + k) % s.standing.size()]);
+        const Call& call = calls_.at(s.standing[(from + k) % s.standing.size()]);
         if (call.spared || call.legs.empty() || !call.legs.back().standing) continue;
-        move_call(now, call);
-        break;
+        const int members = call.group.empty() ? 0 : s.groups.at(call.group);
+        if (!best || members < fewest) best = &call, fewest = members;
     }
-    if (s.to_shed <= 0) return;
-    s.shedding = true;
-    out_.set_timer(now + s.shed_gap, shed_next | static_cast<uint64_t>(server) << 8);
+    return best ? best->id : 0;
 }
 
 void Brain::note_key(Instant now, const Call& call, int server) {
--- a/src/brain.h
+++ b/src/brain.h
@@ -206,6 +206,7 @@
     void plan_shedding(Instant);
     void judge_term(Instant);
     void shed_one(Instant, int server);
+    CallId victim(const Server&);
     void start_shedding(Instant, int server, int calls, Span over);
     void note_key(Instant, const Call&, int server);
     const KeyNote* noted_key(Instant, const std::string&) const;
