--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -41,7 +41,7 @@
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
 constexpr Span first_ask_pause = millis(300), longest_ask_pause = seconds(2);
 
-enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, tidy_next, hold_over, ask_again, probe_due };
+enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again, probe_due };
 
 uint64_t hash_of(const std::string& text) {
     uint64_t h = 1469598103934665603ULL;
@@ -539,37 +539,6 @@
     }
 }
 
-// A group that stands on many servers is paid for on each: in the balancing period its strays are moved,
-// paced, to the server that its draw puts first among those with room.
-void Brain::plan_tidying(Instant now) {
-    strays_.clear();
-    for (const Server& s : servers_)
-        for (const CallId id : s.standing)
-            if (!calls_.at(id).group.empty()) strays_.push_back(id);
-    if (strays_.empty()) return;
-    tidy_gap_ = (balance_time - shed_grace) * (1.0 / static_cast<double>(strays_.size()));
-    out_.set_timer(now + tidy_gap_, tidy_next);
-}
-
-void Brain::tidy_one(Instant now) {
-    if (strays_.empty() || in_pause(now)) return;
-    const CallId id = strays_.front();
-    strays_.pop_front();
-    out_.set_timer(now + tidy_gap_, tidy_next);
-    const auto it = calls_.find(id);
-    if (it == calls_.end() || it->second.slot < 0 || !it->second.legs.back().standing || it->second.spared)
-        return;
-    const Call& call = it->second;
-    const int here = call.legs.back().server;
-    const std::vector<double>& draws = draws_of(call.group);
-    const double load = load_of(call);
-    for (const Share& s : shares(now, nullptr)) {
-        if (draws[s.server] >= draws[here] || s.load + load > std::min(s.share * group_slack, s.ceiling))
-            continue;
-        return move_call(now, it->second);
-    }
-}
-
 void Brain::start_shedding(Instant now, int server, int calls, Span over) {
     Server& s = servers_[server];
     s.to_shed = calls;
@@ -684,11 +653,14 @@
 
 void Brain::timer_rang(Instant now, uint64_t token) {
     switch (token & 0xff) {
-        case term_begins: return start_term(now);
-        case term_sheds: return plan_shedding(now), told_.groups ? plan_tidying(now) : void();
-        case shed_next: return shed_one(now, static_cast<int>(token >> 8));
-        case ask_again: return watching_ || asked_ ? void() : ask_list(now);
-        case tidy_next: return tidy_one(now);
+        case term_begins:
+            return start_term(now);
+        case term_sheds:
+            return plan_shedding(now);
+        case shed_next:
+            return shed_one(now, static_cast<int>(token >> 8));
+        case ask_again:
+            return watching_ || asked_ ? void() : ask_list(now);
         case hold_over: {
             hold_timer_ = false;
             std::deque<CallId> waiting;
@@ -701,7 +673,8 @@
             }
             return;
         }
-        default: return;
+        default:
+            return;
     }
 }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -207,8 +207,6 @@
     void judge_term(Instant);
     void shed_one(Instant, int server);
     CallId victim(const Server&);
-    void plan_tidying(Instant);
-    void tidy_one(Instant);
     void start_shedding(Instant, int server, int calls, Span over);
     void note_key(Instant, const Call&, int server);
     const KeyNote* noted_key(Instant, const std::string&) const;
@@ -225,8 +223,7 @@
     std::vector<Server> servers_;
     std::map<ServerId, int> index_;
     std::unordered_map<CallId, Call> calls_;
-    std::deque<CallId> held_, strays_;
-    Span tidy_gap_;
+    std::deque<CallId> held_;
     std::unordered_map<std::string, std::vector<double>> draws_;  // looked up only, never walked
     std::vector<double> type_load_, type_seen_;
     std::map<std::string, KeyNote> keys_;
