--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,7 +35,7 @@
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
-constexpr double group_slack = 1.25, group_floor = 3;
+constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
@@ -106,11 +106,9 @@
     const Share* least = nullptr;
     double least_over = 0;
     for (const Share& s : all) {
-        if (back_in_pause ? s.server != note->server
-                          : s.load + load <= std::min(call.group.empty() ? s.share
-                                                                         : std::max(s.share * group_slack,
-                                                                                    s.share + group_floor),
-                                                      s.ceiling))
+        if (back_in_pause
+                ? s.server != note->server
+                : s.load + load <= std::min(s.share * (call.group.empty() ? 1 : group_slack), s.ceiling))
             below.push_back(s.server);
         if (s.load + load > s.ceiling) continue;
         const double over = (s.load + load) / std::max(s.share, 1e-9);
@@ -655,10 +653,14 @@
 
 void Brain::timer_rang(Instant now, uint64_t token) {
     switch (token & 0xff) {
-        case term_begins: return start_term(now);
-        case term_sheds: return plan_shedding(now);
-        case shed_next: return shed_one(now, static_cast<int>(token >> 8));
-        case ask_again: return watching_ || asked_ ? void() : ask_list(now);
+        case term_begins:
+            return start_term(now);
+        case term_sheds:
+            return plan_shedding(now);
+        case shed_next:
+            return shed_one(now, static_cast<int>(token >> 8));
+        case ask_again:
+            return watching_ || asked_ ? void() : ask_list(now);
         case hold_over: {
             hold_timer_ = false;
             std::deque<CallId> waiting;
@@ -671,7 +673,8 @@
             }
             return;
         }
-        default: return;
+        default:
+            return;
     }
 }
 
