--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,24 +35,13 @@
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
-// Drains: how long a server is watched for sending its clients away itself, and how its connections are
-// paced.
-constexpr Span drain_look = seconds(0.6), drain_moves = seconds(1.4), gone_moves = seconds(0.5);
 constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
 constexpr Span first_ask_pause = millis(300), longest_ask_pause = seconds(2);
 
-enum Timer : uint64_t {
-    term_begins = 1,
-    term_sheds,
-    shed_next,
-    drain_looked,
-    hold_over,
-    ask_again,
-    probe_due
-};
+enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again, probe_due };
 
 uint64_t hash_of(const std::string& text) {
     uint64_t h = 1469598103934665603ULL;
@@ -158,7 +147,6 @@
 void Brain::back_place(Instant now, Call& call, const Back& back) {
     const Leg& leg = call.legs[back.leg];
     Server& s = servers_[leg.server];
-    if (back.ending == Ending::stopped) ++s.sent_away;
     if (back.ending == Ending::stopped || back.ending == Ending::not_sent) return;
     if (back.stood && back.ending != Ending::completed) return broke(now, s);
     if (leg.sent >= Instant{now.ns / term_time.ns * term_time.ns} && back.ending != Ending::completed)
@@ -642,32 +630,13 @@
         return;
     }
     Server& s = servers_[it->second];
-    const Condition before = s.listed.condition;
     const bool restarted = entry.launched && (!s.listed.launched || *entry.launched > *s.listed.launched);
     s.listed = entry;
-    if (!restarted) return follow_drain(now, it->second, before);
+    if (!restarted) return;
     s.warm_from = entry.launched;
     begin_anew(now, s);
 }
 
-// A draining server cuts off what it still holds when it stops, all at once: its connections are moved
-// before, paced, unless it is seen to send its clients away itself. What stands on one that is gone reaches
-// nobody any more.
-void Brain::follow_drain(Instant now, int server, Condition before) {
-    Server& s = servers_[server];
-    if (s.listed.condition == before || s.listed.condition == Condition::active) return;
-    s.sent_away = 0;
-    if (s.listed.condition == Condition::left)
-        return start_shedding(now, server, static_cast<int>(s.standing.size()), gone_moves);
-    out_.set_timer(now + drain_look, drain_looked | static_cast<uint64_t>(server) << 8);
-}
-
-void Brain::look_at_drain(Instant now, int server) {
-    const Server& s = servers_[server];
-    if (s.listed.condition != Condition::leaving || s.sent_away > 0) return;
-    start_shedding(now, server, static_cast<int>(s.standing.size()), drain_moves);
-}
-
 // A new process under an old id holds nothing of the old one's connections.
 void Brain::begin_anew(Instant now, Server& s) {
     s.distrust = 0;
@@ -684,11 +653,14 @@
 
 void Brain::timer_rang(Instant now, uint64_t token) {
     switch (token & 0xff) {
-        case term_begins: return start_term(now);
-        case term_sheds: return plan_shedding(now);
-        case shed_next: return shed_one(now, static_cast<int>(token >> 8));
-        case drain_looked: return look_at_drain(now, static_cast<int>(token >> 8));
-        case ask_again: return watching_ || asked_ ? void() : ask_list(now);
+        case term_begins:
+            return start_term(now);
+        case term_sheds:
+            return plan_shedding(now);
+        case shed_next:
+            return shed_one(now, static_cast<int>(token >> 8));
+        case ask_again:
+            return watching_ || asked_ ? void() : ask_list(now);
         case hold_over: {
             hold_timer_ = false;
             std::deque<CallId> waiting;
@@ -701,7 +673,8 @@
             }
             return;
         }
-        default: return;
+        default:
+            return;
     }
 }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -118,7 +118,7 @@
     Instant ceiling_at;
     int sent_in_term = 0, lost_in_term = 0;
     std::array<double, 6> excess{};
-    int to_shed = 0, resets = 0, sent_away = 0;
+    int to_shed = 0, resets = 0;
     Span shed_gap;
     bool shedding = false, probing = false;
     Instant reset_at;
@@ -211,8 +211,6 @@
     void note_key(Instant, const Call&, int server);
     const KeyNote* noted_key(Instant, const std::string&) const;
     void apply_listed(Instant, const Listed&);
-    void follow_drain(Instant, int server, Condition before);
-    void look_at_drain(Instant, int server);
     void begin_anew(Instant, Server&);
     void ask_list(Instant);
     void absorb(Instant, Server&, const LoadReport&);
