--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,6 +35,7 @@
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
+constexpr Span probe_round = seconds(2);  // in which each server is probed once
 constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -69,6 +70,8 @@
     const int64_t term = now.ns / term_time.ns;
     out_.set_timer(Instant{(term + 1) * term_time.ns}, term_begins);
     if (told_.ask_list) ask_list(now);
+    if (told_.may_probe && told_.probe_reports)
+        out_.set_timer(now + probe_round * chance_.uniform(), probe_due);
 }
 
 // ---- the chain ----
@@ -491,7 +494,35 @@
     return weights > 0 ? load * base_weight(s) / weights : 0;
 }
 
-void Brain::absorb(Instant, Server&, const LoadReport&) {}
+// Where servers report the load asked of them over what they can do, a ceiling need not wait for slow
+// messages, and goes again as soon as the report shows room.
+void Brain::absorb(Instant now, Server& s, const LoadReport& report) {
+    if (!report.load_share) return;
+    const double x = std::max(*report.load_share, 0.05), load = load_on(s);
+    const double fits = load * good_use / x;
+    if (x > good_use) {
+        s.ceiling = std::min(ceiling_of(now, s), fits);
+        const double each = load / std::max<double>(1, static_cast<double>(s.standing.size()));
+        if (x > 1)
+            start_shedding(now, index_.at(s.listed.server), static_cast<int>((load - fits) / each),
+                           seconds(1));
+    } else {
+        s.ceiling = std::max(ceiling_of(now, s), fits + (good_use - x) * full_share(s));
+    }
+    s.ceiling_at = now;
+}
+
+// Probes in turn, one server at a time, where they bring load reports that come no other way.
+void Brain::probe_next(Instant now) {
+    int active = 0;
+    for (const Server& s : servers_) active += s.listed.condition == Condition::active;
+    out_.set_timer(now + probe_round * (1.0 / std::max(1, active)), probe_due);
+    for (size_t k = 0; k < servers_.size(); ++k) {
+        probe_turn_ = (probe_turn_ + 1) % static_cast<int>(servers_.size());
+        const Server& s = servers_[probe_turn_];
+        if (s.listed.condition == Condition::active) return out_.probe(s.listed.server);
+    }
+}
 
 void Brain::probe_ended(Instant now, const ServerId& id, Ending, Span, const LoadReport& report) {
     absorb(now, servers_[index_.at(id)], report);
@@ -653,14 +684,11 @@
 
 void Brain::timer_rang(Instant now, uint64_t token) {
     switch (token & 0xff) {
-        case term_begins:
-            return start_term(now);
-        case term_sheds:
-            return plan_shedding(now);
-        case shed_next:
-            return shed_one(now, static_cast<int>(token >> 8));
-        case ask_again:
-            return watching_ || asked_ ? void() : ask_list(now);
+        case term_begins: return start_term(now);
+        case term_sheds: return plan_shedding(now);
+        case shed_next: return shed_one(now, static_cast<int>(token >> 8));
+        case probe_due: return probe_next(now);
+        case ask_again: return watching_ || asked_ ? void() : ask_list(now);
         case hold_over: {
             hold_timer_ = false;
             std::deque<CallId> waiting;
@@ -673,8 +701,7 @@
             }
             return;
         }
-        default:
-            return;
+        default: return;
     }
 }
 
