--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -502,10 +502,6 @@
     const double fits = load * good_use / x;
     if (x > good_use) {
         s.ceiling = std::min(ceiling_of(now, s), fits);
-        const double each = load / std::max<double>(1, static_cast<double>(s.standing.size()));
-        if (x > 1)
-            start_shedding(now, index_.at(s.listed.server), static_cast<int>((load - fits) / each),
-                           seconds(1));
     } else {
         s.ceiling = std::max(ceiling_of(now, s), fits + (good_use - x) * full_share(s));
     }
