--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,14 +35,13 @@
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
-constexpr Span probe_round = seconds(2);  // in which each server is probed once
 constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
 constexpr Span first_ask_pause = millis(300), longest_ask_pause = seconds(2);
 
-enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again, probe_due };
+enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again };
 
 uint64_t hash_of(const std::string& text) {
     uint64_t h = 1469598103934665603ULL;
@@ -70,8 +69,6 @@
     const int64_t term = now.ns / term_time.ns;
     out_.set_timer(Instant{(term + 1) * term_time.ns}, term_begins);
     if (told_.ask_list) ask_list(now);
-    if (told_.may_probe && told_.probe_reports)
-        out_.set_timer(now + probe_round * chance_.uniform(), probe_due);
 }
 
 // ---- the chain ----
@@ -502,21 +499,7 @@
     const double fits = load * good_use / x;
     if (x > good_use) {
         s.ceiling = std::min(ceiling_of(now, s), fits);
-    } else {
-        s.ceiling = std::max(ceiling_of(now, s), fits + (good_use - x) * full_share(s));
-    }
-    s.ceiling_at = now;
-}
-
-// Probes in turn, one server at a time, where they bring load reports that come no other way.
-void Brain::probe_next(Instant now) {
-    int active = 0;
-    for (const Server& s : servers_) active += s.listed.condition == Condition::active;
-    out_.set_timer(now + probe_round * (1.0 / std::max(1, active)), probe_due);
-    for (size_t k = 0; k < servers_.size(); ++k) {
-        probe_turn_ = (probe_turn_ + 1) % static_cast<int>(servers_.size());
-        const Server& s = servers_[probe_turn_];
-        if (s.listed.condition == Condition::active) return out_.probe(s.listed.server);
+        s.ceiling_at = now;
     }
 }
 
@@ -683,7 +666,6 @@
         case term_begins: return start_term(now);
         case term_sheds: return plan_shedding(now);
         case shed_next: return shed_one(now, static_cast<int>(token >> 8));
-        case probe_due: return probe_next(now);
         case ask_again: return watching_ || asked_ ? void() : ask_list(now);
         case hold_over: {
             hold_timer_ = false;
--- a/src/brain.h
+++ b/src/brain.h
@@ -112,7 +112,7 @@
     double distrust = 0;
     Instant distrust_at;
     int failures_in_row = 0;
-    Instant skip_until, out_until, slow_at, last_sent, last_kept, last_probe;
+    Instant skip_until, out_until, slow_at, last_sent, last_kept;
     double delay = 0;     // seconds that a message was last told to take here
     double ceiling = -1;  // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
@@ -214,7 +214,6 @@
     void begin_anew(Instant, Server&);
     void ask_list(Instant);
     void absorb(Instant, Server&, const LoadReport&);
-    void probe_next(Instant);
     Span stay_away(const Call&);
 
     Deployment told_;
@@ -232,7 +231,6 @@
     bool asked_ = false, watching_ = false, hold_timer_ = false;
     Instant asked_at_;
     Span ask_pause_;
-    int probe_turn_ = 0;
 };
 
 }  // namespace headrouter
