--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,7 +34,7 @@
 // Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
-constexpr double ceiling_growth = 0.02, ceiling_speeding = 0.01, ceiling_life = 30, unbounded = 1e12;
+constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -479,9 +479,7 @@
 double Brain::ceiling_of(Instant now, const Server& s) const {
     if (s.ceiling < 0) return unbounded;
     const double t = in_seconds(now - s.ceiling_at);
-    return t > ceiling_life
-               ? unbounded
-               : s.ceiling + t * (ceiling_growth + ceiling_speeding * t) * std::max(1.0, full_share(s));
+    return t > ceiling_life ? unbounded : s.ceiling + t * ceiling_growth * std::max(1.0, full_share(s));
 }
 
 double Brain::full_share(const Server& s) const {
