--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,6 +35,7 @@
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
+constexpr double group_work = 4;
 constexpr double group_slack = 1.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -570,16 +571,17 @@
 }
 
 // Spared keys stay until their server is balanced and go first after that (design 6). Of the others the one
-// whose group has the fewest members here: the server is soonest rid of work that only that group needs.
+// that frees most work by one move: moves are priced, and a group's last member takes the group's own work
+// along.
 CallId Brain::victim(const Server& s) {
     const size_t from = static_cast<size_t>(chance_.uniform() * static_cast<double>(s.standing.size()));
     const Call* best = nullptr;
-    int fewest = 0;
+    double most = 0;
     for (size_t k = 0; k < s.standing.size(); ++k) {
         const Call& call = calls_.at(s.standing[(from + k) % s.standing.size()]);
         if (call.spared || call.legs.empty() || !call.legs.back().standing) continue;
-        const int members = call.group.empty() ? 0 : s.groups.at(call.group);
-        if (!best || members < fewest) best = &call, fewest = members;
+        const double freed = load_of(call) + (call.group.empty() ? 0 : group_work / s.groups.at(call.group));
+        if (!best || freed > most) best = &call, most = freed;
     }
     return best ? best->id : 0;
 }
