--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -470,7 +470,8 @@
         const double excess = load - ceiling;
         const double each = load / std::max<double>(1, static_cast<double>(s.standing.size()));
         const int server = index_.at(id);
-        if (excess > 0) start_shedding(now, server, static_cast<int>(std::ceil(excess / each)), seconds(0.8));
+        if (excess > 0)
+            start_shedding(now, server, excess, static_cast<int>(std::ceil(excess / each)), seconds(0.8));
     }
     s.ceiling = ceiling;
     s.ceiling_at = now;
@@ -545,16 +546,15 @@
         s.excess[term] = excess;
         const double most = *std::max_element(s.excess.begin(), s.excess.end());
         const int calls = std::max(least_shed, static_cast<int>(std::ceil(most / terms_kept)));
-        start_shedding(now, share.server, std::min(calls, static_cast<int>(excess)),
-                       balance_time - shed_grace);
+        start_shedding(now, share.server, std::min<double>(calls, excess), calls, balance_time - shed_grace);
     }
 }
 
-void Brain::start_shedding(Instant now, int server, int calls, Span over) {
+void Brain::start_shedding(Instant now, int server, double load, int moves, Span over) {
     Server& s = servers_[server];
-    s.to_shed = calls;
-    s.shed_gap = over * (1.0 / std::max(1, calls));
-    if (s.shedding || calls <= 0) return;
+    s.to_shed = load;
+    s.shed_gap = over * (1.0 / std::max(1, moves));
+    if (s.shedding || load <= 0) return;
     s.shedding = true;
     out_.set_timer(now + s.shed_gap * chance_.uniform(), shed_next | static_cast<uint64_t>(server) << 8);
 }
@@ -563,8 +563,11 @@
     Server& s = servers_[server];
     s.shedding = false;
     if (s.to_shed <= 0 || s.standing.empty()) return;
-    --s.to_shed;
-    if (const CallId id = victim(s)) move_call(now, calls_.at(id));
+    const CallId id = victim(s);
+    if (!id) return;
+    Call& call = calls_.at(id);
+    s.to_shed -= load_of(call);
+    move_call(now, call);
     if (s.to_shed <= 0) return;
     s.shedding = true;
     out_.set_timer(now + s.shed_gap, shed_next | static_cast<uint64_t>(server) << 8);
--- a/src/brain.h
+++ b/src/brain.h
@@ -118,7 +118,8 @@
     Instant ceiling_at;
     int sent_in_term = 0, lost_in_term = 0;
     std::array<double, 6> excess{};
-    int to_shed = 0, resets = 0;
+    double to_shed = 0;  // in usual connections
+    int resets = 0;
     Span shed_gap;
     bool shedding = false, probing = false;
     Instant reset_at;
@@ -207,7 +208,7 @@
     void judge_term(Instant);
     void shed_one(Instant, int server);
     CallId victim(const Server&);
-    void start_shedding(Instant, int server, int calls, Span over);
+    void start_shedding(Instant, int server, double load, int moves, Span over);
     void note_key(Instant, const Call&, int server);
     const KeyNote* noted_key(Instant, const std::string&) const;
     void apply_listed(Instant, const Listed&);
