--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -583,7 +583,9 @@
     for (size_t k = 0; k < s.standing.size(); ++k) {
         const Call& call = calls_.at(s.standing[(from + k) % s.standing.size()]);
         if (call.spared || call.legs.empty() || !call.legs.back().standing) continue;
-        const double freed = load_of(call) + (call.group.empty() ? 0 : group_work / s.groups.at(call.group));
+        const double load = load_of(call);
+        const double work = call.group.empty() ? 0 : group_work / s.groups.at(call.group);
+        const double freed = std::min(load, 2 * s.to_shed - load) + work;  // more than the excess is no gain
         if (!best || freed > most) best = &call, most = freed;
     }
     return best ? best->id : 0;
