--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -585,7 +585,7 @@
         if (call.spared || call.legs.empty() || !call.legs.back().standing) continue;
         const double load = load_of(call);
         const double work = call.group.empty() ? 0 : group_work / s.groups.at(call.group);
-        const double freed = std::min(load, 2 * s.to_shed - load) + work;  // more than the excess is no gain
+        const double freed = std::min(load, s.to_shed) + work;  // more than the excess is no gain
         if (!best || freed > most) best = &call, most = freed;
     }
     return best ? best->id : 0;
