--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -98,18 +98,24 @@
 }
 
 Brain::Verdict Brain::place(Instant now, Call& call) {
+    const KeyNote* note = call.key.empty() ? nullptr : noted_key(now, call.key);
+    if (call.mid_flow && call.legs.empty() && note && note->parked && now - note->at < told_.park &&
+        servers_[note->server].listed.condition != Condition::left) {
+        call.chosen = note->server;  // the server that still holds it, also while that one drains
+        return Verdict::pass_on;
+    }
     const std::vector<Share> all = shares(now, &call);
     if (all.empty()) return Verdict::keep;
     std::vector<int> below;
-    const KeyNote* note = call.key.empty() ? nullptr : noted_key(now, call.key);
-    const bool back_in_pause = note && in_pause(now);
+    const bool back_in_pause = note && !note->parked && in_pause(now);
+    const std::string& draw_name = draw_name_of(call);
     const double load = load_of(call);
     const Share* least = nullptr;
     double least_over = 0;
     for (const Share& s : all) {
         if (back_in_pause
                 ? s.server != note->server
-                : s.load + load <= std::min(s.share * (call.group.empty() ? 1 : group_slack), s.ceiling))
+                : s.load + load <= std::min(s.share * (draw_name.empty() ? 1 : group_slack), s.ceiling))
             below.push_back(s.server);
         if (s.load + load > s.ceiling) continue;
         const double over = (s.load + load) / std::max(s.share, 1e-9);
@@ -148,13 +154,15 @@
 void Brain::back_place(Instant now, Call& call, const Back& back) {
     const Leg& leg = call.legs[back.leg];
     Server& s = servers_[leg.server];
+    if (back.stood && back.ending == Ending::stopped && told_.pass_mode)
+        note_key(now, call, leg.server, true);
     if (back.ending == Ending::stopped || back.ending == Ending::not_sent) return;
     if (back.stood && back.ending != Ending::completed) return broke(now, s);
     if (leg.sent >= Instant{now.ns / term_time.ns * term_time.ns} && back.ending != Ending::completed)
         ++s.lost_in_term;
     if (back.ending == Ending::completed) return;
     suspect(now, s, back.ending == Ending::full ? points_full : points_failed);
-    note_key(now, call, leg.server);
+    note_key(now, call, leg.server, false);
 }
 
 void Brain::back_guard(Instant, Call& call, const Back& back) {
@@ -309,6 +317,12 @@
     return *std::min_element(from.begin(), from.end(), [&](int a, int b) { return draws[a] < draws[b]; });
 }
 
+// Where packets pass through, a key draws like a group, so that another balancer sends them to the same
+// server.
+const std::string& Brain::draw_name_of(const Call& call) const {
+    return call.group.empty() && told_.pass_mode ? call.key : call.group;
+}
+
 const std::vector<double>& Brain::draws_of(const std::string& group) {
     std::vector<double>& draws = draws_[group];
     while (draws.size() < servers_.size()) {
@@ -328,7 +342,7 @@
     else
         s.untold[call.type] += 1;
     if (!call.group.empty()) ++s.groups[call.group];
-    if (call.spared) ++s.spared;
+    if (call.spared) ++s.spared, s.spared_first = false;
 }
 
 void Brain::uncount(Call& call) {
@@ -542,6 +556,7 @@
     for (const Share& share : shares(now, nullptr)) {
         Server& s = servers_[share.server];
         const double excess = share.load - share.share;
+        if (share.load <= share.share * saturation_band) s.spared_first = true;  // balanced: sparing ends
         if (share.load <= share.share * saturation_band || excess < saturation_floor) continue;
         s.excess[term] = excess;
         const double most = *std::max_element(s.excess.begin(), s.excess.end());
@@ -582,7 +597,9 @@
     double most = 0;
     for (size_t k = 0; k < s.standing.size(); ++k) {
         const Call& call = calls_.at(s.standing[(from + k) % s.standing.size()]);
-        if (call.spared || call.legs.empty() || !call.legs.back().standing) continue;
+        if (call.legs.empty() || !call.legs.back().standing) continue;
+        if (call.spared && s.spared_first) return call.id;
+        if (call.spared) continue;
         const double load = load_of(call);
         const double work = call.group.empty() ? 0 : group_work / s.groups.at(call.group);
         const double freed = std::min(load, s.to_shed) + work;  // more than the excess is no gain
@@ -591,7 +608,7 @@
     return best ? best->id : 0;
 }
 
-void Brain::note_key(Instant now, const Call& call, int server) {
+void Brain::note_key(Instant now, const Call& call, int server, bool parked) {
     if (call.key.empty()) return;
     while (!key_age_.empty() &&
            (key_age_.size() >= keys_kept || now - key_age_.front().second > key_age_limit)) {
@@ -599,7 +616,7 @@
         if (it != keys_.end() && it->second.at == key_age_.front().second) keys_.erase(it);
         key_age_.pop_front();
     }
-    keys_[call.key] = KeyNote{server, now};
+    keys_[call.key] = KeyNote{server, now, parked};
     key_age_.emplace_back(call.key, now);
 }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -121,7 +121,7 @@
     double to_shed = 0;  // in usual connections
     int resets = 0;
     Span shed_gap;
-    bool shedding = false, probing = false;
+    bool shedding = false, spared_first = false;
     Instant reset_at;
 };
 
@@ -164,6 +164,7 @@
     struct KeyNote {
         int server;
         Instant at;
+        bool parked;  // its connection may still stand there, its packets went elsewhere
     };
     static const std::array<Stage, 4> chain;
 
@@ -200,6 +201,7 @@
     void count(Server&, Call&);
     void uncount(Call&);
     void move_call(Instant, Call&);
+    const std::string& draw_name_of(const Call&) const;
     const std::vector<double>& draws_of(const std::string& group);
     int pick(const Call&, const std::vector<int>&);
     bool in_pause(Instant) const;
@@ -209,7 +211,7 @@
     void shed_one(Instant, int server);
     CallId victim(const Server&);
     void start_shedding(Instant, int server, double load, int moves, Span over);
-    void note_key(Instant, const Call&, int server);
+    void note_key(Instant, const Call&, int server, bool parked);
     const KeyNote* noted_key(Instant, const std::string&) const;
     void apply_listed(Instant, const Listed&);
     void begin_anew(Instant, Server&);
