--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -22,7 +22,7 @@
 constexpr int judged_from = 20, terms_out = 3;
 constexpr double kept_share = 0.1;
 // Design 6: the table of keys that failed elsewhere.
-constexpr size_t keys_kept = 2048;
+constexpr size_t keys_kept = 2048, draws_kept = 4096;
 constexpr Span key_age_limit = seconds(30);
 // Distrust: points a failure, time in which half of it fades, and the first time-out of a failing server.
 constexpr double points_failed = 1, points_full = 0.5, points_reset = 0.5, points_forgiven = 0.5;
@@ -324,6 +324,8 @@
 }
 
 const std::vector<double>& Brain::draws_of(const std::string& group) {
+    if (draws_.size() >= draws_kept && !draws_.count(group))
+        draws_.clear();  // bounded: made anew when needed
     std::vector<double>& draws = draws_[group];
     while (draws.size() < servers_.size()) {
         const Listed& listed = servers_[draws.size()].listed;
@@ -677,6 +679,7 @@
     s.failures_in_row = 0;
     s.skip_until = s.out_until = Instant{};
     s.excess.fill(0);
+    s.ceiling = -1;
     s.restarted_unlisted = false;
     const std::vector<CallId> old = s.standing;
     for (const CallId id : old) {
--- a/src/brain.h
+++ b/src/brain.h
@@ -96,8 +96,6 @@
     virtual void move(CallId) = 0;
     virtual void set_timer(Instant, uint64_t token) = 0;
     virtual void watch_list() = 0;
-    virtual void probe(const ServerId&) = 0;
-    virtual void log(const std::string&) = 0;
 };
 
 struct Server {
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -1,5 +1,3 @@
-#include <cinttypes>
-
 #include "wire/wire.h"
 
 namespace headrouter {
@@ -12,7 +10,7 @@
 }
 
 static std::string quoted(const std::string& text) {
-    std::string s = "\"";
+    std::string s(1, '"');
     for (const char c : text) {
         if (c == '"' || c == '\\') {
             s += '\\';
@@ -28,7 +26,10 @@
     return s + '"';
 }
 
-void LineActions::id(CallId call) { reply_ += ",\"ref\":" + std::to_string(call); }
+void LineActions::id(CallId call) {
+    reply_ += ",\"ref\":";
+    reply_ += std::to_string(call);
+}
 
 void LineActions::send_leg(CallId call, const ServerId& server, Span time_out) {
     open("Assign");
@@ -65,14 +66,4 @@
     reply_ += ",\"active\":true}}\n";
 }
 
-void LineActions::probe(const ServerId& server) {
-    open("Probe");
-    reply_ += ",\"server\":" + quoted(server) + "}}\n";
-}
-
-void LineActions::log(const std::string& text) {
-    open("Debug");
-    reply_ += ",\"msg\":" + quoted(text) + "}}\n";
-}
-
 }  // namespace headrouter
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -23,8 +23,6 @@
     void move(CallId) override;
     void set_timer(Instant, uint64_t token) override;
     void watch_list() override;
-    void probe(const ServerId&) override;
-    void log(const std::string&) override;
 
    private:
     void open(const char* action);
--- /dev/null
+++ b/tests/helpers.h
@@ -0,0 +1,110 @@
+// What the tests share: a sink that writes down the actions, a view into a Brain, and small builders.
+#pragma once
+#undef NDEBUG
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "brain.h"
+
+namespace headrouter {
+
+struct Written : Actions {
+    struct Sent {
+        CallId call;
+        ServerId server;
+        Span time_out;
+    };
+    std::vector<Sent> sent;
+    std::vector<CallId> rejected, released, moved;
+    std::vector<std::pair<Instant, uint64_t>> timers;
+    Span advice;
+    int asks = 0;
+    void send_leg(CallId c, const ServerId& s, Span t) override { sent.push_back({c, s, t}); }
+    void reject(CallId c, Span a) override { rejected.push_back(c), advice = a; }
+    void release(CallId c) override { released.push_back(c); }
+    void move(CallId c) override { moved.push_back(c); }
+    void set_timer(Instant t, uint64_t token) override { timers.emplace_back(t, token); }
+    void watch_list() override { ++asks; }
+};
+
+struct Peek {
+    Brain& b;
+    Server& server(const ServerId& id) { return b.servers_[b.index_.at(id)]; }
+    Call& call(CallId id) { return b.calls_.at(id); }
+    bool holds(CallId id) { return b.calls_.count(id) > 0; }
+    void plan_shedding(Instant t) { b.plan_shedding(t); }
+    void judge_term(Instant t) { b.judge_term(t); }
+    double distrust(Instant t, const ServerId& id) { return b.distrust(t, server(id)); }
+    double ceiling(Instant t, const ServerId& id) { return b.ceiling_of(t, server(id)); }
+    double load(const ServerId& id) { return b.load_on(server(id)); }
+    bool usable(Instant t, const ServerId& id) { return b.usable(t, server(id)); }
+    double share(Instant t, const ServerId& id) {
+        for (const auto& s : b.shares(t, nullptr))
+            if (b.servers_[s.server].listed.server == id) return s.share;
+        return 0;
+    }
+    void note_key(Instant t, const Call& c, const ServerId& id) { b.note_key(t, c, b.index_.at(id), false); }
+    size_t keys() { return b.keys_.size(); }
+    CallId victim(const ServerId& id) { return b.victim(server(id)); }
+    std::vector<std::pair<Instant, uint64_t>> due(Written& w) { return std::exchange(w.timers, {}); }
+};
+
+// A test case: runs when it is defined, so that none can be left out; a failed assert ends the program.
+struct Case {
+    explicit Case(void (*run)()) { run(); }
+};
+
+// A wall-clock point at the start of a term, so that balancing and pause are where a test expects them.
+constexpr Instant term_start{1'000'000'000'000};
+
+inline Deployment deployment(Effect effect = Effect::repeatable, Scope scope = Scope::all) {
+    Deployment d;
+    TrafficType t;
+    t.effect = effect;
+    t.scope = scope;
+    t.setup_target = millis(300);
+    t.guard_time = seconds(2);
+    t.window = seconds(5);
+    t.message_target = millis(50);
+    d.types = {t};
+    d.max_legs = 4;
+    d.cold_time = seconds(10);
+    d.fall_time = seconds(1);
+    d.cold_share = 0.3;
+    d.fall_multiple = 3;
+    d.advises = true;
+    d.max_advice = seconds(2);
+    d.step = millis(2);
+    return d;
+}
+
+inline Listed listed(const ServerId& id, double weight = 1, int zone = 0, int cell = 0) {
+    return Listed{id, weight, Condition::active, zone, cell, {}};
+}
+
+inline Call call(CallId id, Instant now, const std::string& key = "", const std::string& group = "") {
+    Call c;
+    c.id = id;
+    c.guard = now + seconds(2);
+    c.key = key;
+    c.group = group;
+    return c;
+}
+
+struct Rig {
+    Written w;
+    Brain b;
+    Peek p{b};
+    explicit Rig(const std::vector<Listed>& list, Deployment d = deployment())
+        : b(std::move(d), 1, w, term_start) {
+        b.list_told(term_start, ListKind::complete, list);
+    }
+};
+
+// Standing connections with ids from `first` on.
+inline void stand(Brain& b, Instant now, const ServerId& server, CallId first, int n) {
+    for (int k = 0; k < n; ++k) b.call_inherited(now, call(first + k, now), server);
+}
+
+}  // namespace headrouter
--- a/tests/test_base.cpp
+++ b/tests/test_base.cpp
@@ -1,11 +1,8 @@
-#include <cassert>
-
-#include "base/bucket_ring.h"
-#include "base/pcg32.h"
+#include "helpers.h"
 
 using namespace headrouter;
 
-static void ring_forgets_what_is_old() {
+static const Case ring_forgets_what_is_old{[] {
     BucketRing<4> ring(seconds(1));
     ring.add(Instant{0}, 3);
     ring.add(Instant{2'500'000'000}, 4);
@@ -13,9 +10,9 @@
     assert(ring.sum(Instant{4'000'000'000}) == 4);
     assert(ring.largest(Instant{5'000'000'000}) == 4);
     assert(ring.sum(Instant{60'000'000'000}) == 0);
-}
+}};
 
-static void chance_follows_the_seed_alone() {
+static const Case chance_follows_the_seed_alone{[] {
     Pcg32 a(7), b(7), c(8);
     bool differs = false;
     for (int k = 0; k < 100; ++k) {
@@ -27,17 +24,13 @@
     double sum = 0;
     for (int k = 0; k < 10000; ++k) sum += a.uniform();
     assert(sum > 4800 && sum < 5200);
-}
+}};
 
-static void spans_and_instants() {
+static const Case spans_and_instants{[] {
     assert((Instant{5} - Instant{2} == Span{3}));
     assert((Instant{5} + Span{2} == Instant{7}));
     assert(in_seconds(millis(250)) == 0.25);
     assert((seconds(2) * 0.5 == seconds(1)));
-}
+}};
 
-int main() {
-    ring_forgets_what_is_old();
-    chance_follows_the_seed_alone();
-    spans_and_instants();
-}
+int main() {}
--- /dev/null
+++ b/tests/test_legs.cpp
@@ -0,0 +1,119 @@
+#include "helpers.h"
+
+using namespace headrouter;
+
+static const Case time_outs_leave_room_for_a_further_leg{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    b.call_arrived(term_start, call(1, term_start));
+    assert(w.sent[0].time_out == millis(180));  // within the setup target of 300 ms
+    Instant now = term_start + seconds(1.8);
+    b.leg_ended(now, 1, 0, Ending::timed_out, seconds(1.8), false, {});
+    assert(w.sent[1].time_out == millis(100));  // half of what is left before the guard time
+    b.leg_ended(now, 1, 1, Ending::full, {}, false, {});
+    b.leg_ended(now, 1, 2, Ending::full, {}, false, {});
+    assert(w.sent[3].time_out == millis(200));  // the last leg takes all that is left
+}};
+
+static const Case one_leg_at_a_time{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    b.call_arrived(term_start, call(1, term_start));
+    for (const auto& [at, token] : p.due(w)) b.timer_rang(term_start + seconds(1), token);
+    assert(w.sent.size() == 1);
+}};
+
+static const Case late_and_repeated_outcomes_are_passed_over{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    b.call_arrived(term_start, call(1, term_start));
+    b.leg_ended(term_start, 1, 0, Ending::full, {}, false, {});
+    b.leg_ended(term_start, 1, 0, Ending::full, {}, false, {});  // that leg had ended
+    b.leg_ended(term_start, 1, 7, Ending::full, {}, false, {});  // there is no such leg
+    b.leg_ended(term_start, 9, 0, Ending::full, {}, false, {});  // nor such a call
+    assert(w.sent.size() == 2);
+    b.call_gone(term_start, 1);
+    b.call_gone(term_start, 1);  // Dropped in the same batch as an end
+    b.leg_ended(term_start, 1, 1, Ending::completed, {}, true, {});
+    b.leg_stands(term_start, 1, 1, {});
+    b.load_told(term_start, 1, 5);
+    assert(w.sent.size() == 2 && w.rejected.empty() && w.released.empty());
+    for (const ServerId s : {"a", "b"}) assert(p.server(s).setting_up == 0 && p.server(s).standing.empty());
+}};
+
+static const Case a_break_of_a_standing_connection_ends_its_call{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    b.call_arrived(term_start, call(1, term_start));
+    b.leg_stands(term_start, 1, 0, millis(5));
+    b.leg_ended(term_start + seconds(3), 1, 0, Ending::reset, seconds(3), true, {});
+    assert(w.sent.size() == 1 && w.rejected.empty() && w.released.empty() && !p.holds(1));
+}};
+
+static const Case distrust_fades_and_traffic_follows_it{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    stand(b, term_start, "a", 10, 10);
+    stand(b, term_start, "b", 30, 10);
+    b.call_arrived(term_start, call(1, term_start));
+    const ServerId failed = w.sent[0].server;
+    b.leg_ended(term_start, 1, 0, Ending::timed_out, millis(180), false, {});
+    assert(p.distrust(term_start, failed) == 1 && !p.usable(term_start, failed));
+    const Instant after = term_start + seconds(1);
+    assert(p.usable(after, failed) && p.share(after, failed) < 8);  // back, at less than its half
+    const double then = p.share(after, failed);
+    assert(p.share(after + seconds(4), failed) > then + 1);
+    assert(p.distrust(term_start + seconds(40), failed) < 0.01);
+}};
+
+// A server that takes calls and answers none: the skip grows, and one leg at a time tries it.
+static const Case a_failing_server_is_tried_by_one_leg_at_a_time{[] {
+    auto&& [w, b, p] = Rig({listed("a")});
+    p.server("a").failures_in_row = 1;
+    assert(p.usable(term_start, "a"));
+    p.server("a").setting_up = 1;
+    assert(!p.usable(term_start, "a"));
+    p.server("a").failures_in_row = 0;
+    assert(p.usable(term_start, "a"));
+}};
+
+static const Case full_is_held_against_a_server_less_than_silence{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    b.call_arrived(term_start, call(1, term_start));
+    b.leg_ended(term_start, 1, 0, Ending::full, {}, false, {});
+    const double full = p.distrust(term_start, w.sent[0].server);
+    b.leg_ended(term_start, 1, 1, Ending::connect_failed, {}, false, {});
+    assert(full > 0 && full < p.distrust(term_start, w.sent[1].server));
+}};
+
+// When all fail, the skipped are tried again rather than none.
+static const Case every_server_failing_still_gets_calls{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    for (const ServerId s : {"a", "b"}) p.server(s).skip_until = term_start + seconds(9);
+    b.call_arrived(term_start, call(1, term_start));
+    assert(w.sent.size() == 1);
+}};
+
+// A crash is told apart from single breaks: all go at once, and what answers next is a new, cold process.
+static const Case a_crashed_server_is_cold_before_the_list_says_so{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    stand(b, term_start, "a", 10, 6);
+    stand(b, term_start, "b", 30, 6);
+    for (CallId id = 10; id < 16; ++id) b.leg_ended(term_start, id, 0, Ending::reset, {}, true, {});
+    b.leg_ended(term_start, 30, 0, Ending::reset, {}, true, {});
+    assert(p.server("a").restarted_unlisted && !p.server("b").restarted_unlisted);
+    p.server("a").skip_until = {};
+    const Instant now = term_start + seconds(8);
+    b.call_arrived(now, call(1, now));
+    assert(w.sent[0].server == "a");
+    b.leg_stands(now, 1, 0, millis(4));
+    assert(p.server("a").warm_from == now && p.share(now + seconds(1), "a") < 1);
+}};
+
+// Answers that bring the load asked over what the server can do lower its ceiling before messages are slow.
+static const Case reports_in_answers_lower_a_ceiling{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    stand(b, term_start, "a", 10, 10);
+    LoadReport report;
+    report.load_share = 1.7;
+    b.leg_ended(term_start, 10, 0, Ending::completed, {}, true, report);
+    assert(p.ceiling(term_start, "a") > 4.5 && p.ceiling(term_start, "a") < 5.5);
+    assert(p.ceiling(term_start, "b") > 1e9);
+}};
+
+int main() {}
--- /dev/null
+++ b/tests/test_placing.cpp
@@ -0,0 +1,98 @@
+#include "helpers.h"
+
+using namespace headrouter;
+
+static const Case places_at_random_below_share_only{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b"), listed("c")});
+    stand(b, term_start, "a", 1, 30);
+    stand(b, term_start, "b", 100, 3);
+    stand(b, term_start, "c", 200, 3);
+    for (CallId id = 300; id < 312; ++id) b.call_arrived(term_start, call(id, term_start));
+    int on_b = 0;
+    for (const auto& s : w.sent) assert(s.server != "a"), on_b += s.server == "b";
+    assert(w.sent.size() == 12 && on_b > 0 && on_b < 12);
+}};
+
+static const Case least_over_where_none_is_below{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b", 3)});
+    b.call_arrived(term_start, call(1, term_start));
+    assert(w.sent.at(0).server ==
+           "b");  // a whole connection is over either share, over the larger one by less
+}};
+
+static const Case shares_follow_weights_and_the_warm_up{[] {
+    Listed cold = listed("cold", 2);
+    cold.launched = term_start - seconds(5);
+    auto&& [w, b, p] = Rig({listed("a"), listed("b"), cold});
+    stand(b, term_start, "a", 1, 30);
+    assert(p.share(term_start, "a") > 9.9 && p.share(term_start, "a") < 10.1);
+    assert(p.share(term_start, "cold") > 9.9 &&
+           p.share(term_start, "cold") < 10.1);  // half of its weight, half warm
+    assert(p.share(term_start + seconds(5), "cold") > 14.9);
+}};
+
+// Counts do not mirror load where traffic types differ in it.
+static const Case counts_by_told_load{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    stand(b, term_start, "a", 1, 2);
+    stand(b, term_start, "b", 10, 6);
+    for (CallId id = 1; id <= 2; ++id) b.load_told(term_start, id, 90'000);
+    for (CallId id = 10; id < 16; ++id) b.load_told(term_start, id, 10'000);
+    assert(p.load("a") > 2.9 * p.load("b"));
+    b.call_arrived(term_start, call(50, term_start));
+    assert(w.sent.at(0).server == "b");
+    b.call_gone(term_start, 1);
+    b.call_gone(term_start, 2);
+    assert(p.load("a") < 1e-6);
+}};
+
+// A group that stands on many servers is paid for on each (first kolkata-setu days).
+static const Case balancers_draw_the_same_server_for_a_group{[] {
+    std::vector<ServerId> chosen[2];
+    for (int k = 0; k < 2; ++k) {
+        Written w;
+        Deployment d = deployment();
+        d.groups = true;
+        Brain b(d, 100 + k, w, term_start);
+        std::vector<Listed> list = {listed("a"), listed("b"), listed("c"), listed("d")};
+        if (k == 1) std::swap(list[0], list[3]);  // the order in a list tells nothing
+        b.list_told(term_start, ListKind::complete, list);
+        for (const ServerId s : {"a", "b", "c", "d"}) stand(b, term_start, s, 1000 * (s[0] - 'a' + 1), 10);
+        for (CallId id = 1; id <= 8; ++id)
+            b.call_arrived(term_start, call(id, term_start, "", std::to_string(id)));
+        for (const auto& s : w.sent) chosen[k].push_back(s.server);
+    }
+    assert(chosen[0] == chosen[1]);
+    assert(std::count(chosen[0].begin(), chosen[0].end(), chosen[0][0]) < 8);
+}};
+
+// Incident i32a987: overloaded servers dropped connections that then pushed over the next ones.
+static const Case slow_messages_cap_a_server_and_move_connections_off{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    stand(b, term_start, "a", 1, 20);
+    stand(b, term_start, "b", 100, 20);
+    b.delay_told(term_start, "a", 100);
+    b.delay_told(term_start + seconds(1), "a", 600);  // half a second more a second: asked half over capacity
+    const double ceiling = p.ceiling(term_start + seconds(1), "a");
+    assert(ceiling > 8 && ceiling < 13);
+    assert(p.server("a").to_shed > 7 && p.server("a").shedding);
+    Instant t = term_start + seconds(1);
+    for (int k = 0; k < 40; ++k)
+        for (const auto& [at, token] : p.due(w))
+            if ((token & 0xff) == 3) b.timer_rang(t = std::max(t, at), token);
+    assert(w.moved.size() >= 7 && w.moved.size() <= 12);
+    for (const CallId id : w.moved) assert(id <= 20);
+    assert(p.ceiling(t + seconds(10), "a") > ceiling);  // won back by itself
+}};
+
+static const Case all_slow_is_rejected_at_once_with_advice{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    stand(b, term_start, "a", 1, 20);
+    stand(b, term_start, "b", 100, 20);
+    for (const ServerId s : {"a", "b"}) b.delay_told(term_start, s, 900);
+    b.call_arrived(term_start, call(300, term_start));
+    assert(w.sent.empty() && w.rejected.size() == 1 && w.advice.ns > 0 && w.advice <= seconds(2));
+    assert(!p.holds(300));
+}};
+
+int main() {}
