--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -106,7 +106,7 @@
     }
     const std::vector<Share> all = shares(now, &call);
     if (all.empty()) return Verdict::keep;
-    std::vector<int> below;
+    std::vector<int> below, holding;
     const bool back_in_pause = note && !note->parked && in_pause(now);
     const std::string& draw_name = draw_name_of(call);
     const double load = load_of(call);
@@ -118,12 +118,14 @@
                 : s.load + load <= std::min(s.share * (draw_name.empty() ? 1 : group_slack), s.ceiling))
             below.push_back(s.server);
         if (s.load + load > s.ceiling) continue;
+        if (!call.group.empty() && servers_[s.server].groups.count(call.group)) holding.push_back(s.server);
         const double over = (s.load + load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
     if (below.empty() && !least)
         return Verdict::end;  // every server is slow already: more would serve nobody
-    call.chosen = below.empty() ? least->server : pick(call, below);
+    // Without one below share, a server that holds the group already is spared its work a second time.
+    call.chosen = !below.empty() ? pick(call, below) : holding.empty() ? least->server : pick(call, holding);
     call.spared = false;
     if (back_in_pause)
         for (const Share& s : all)
