--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -116,16 +116,17 @@
         if (back_in_pause
                 ? s.server != note->server
                 : s.load + load <= std::min(s.share * (draw_name.empty() ? 1 : group_slack), s.ceiling))
-            below.push_back(s.server);
+            (!call.group.empty() && servers_[s.server].groups.count(call.group) ? holding : below)
+                .push_back(s.server);
         if (s.load + load > s.ceiling) continue;
-        if (!call.group.empty() && servers_[s.server].groups.count(call.group)) holding.push_back(s.server);
         const double over = (s.load + load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
+    if (!holding.empty())
+        below.swap(holding);  // a server that holds the group already is not given its work twice
     if (below.empty() && !least)
         return Verdict::end;  // every server is slow already: more would serve nobody
-    // Without one below share, a server that holds the group already is spared its work a second time.
-    call.chosen = !below.empty() ? pick(call, below) : holding.empty() ? least->server : pick(call, holding);
+    call.chosen = below.empty() ? least->server : pick(call, below);
     call.spared = false;
     if (back_in_pause)
         for (const Share& s : all)
