--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,7 +26,7 @@
 constexpr Span key_age_limit = seconds(30);
 // Distrust: points a failure, time in which half of it fades, and the first time-out of a failing server.
 constexpr double points_failed = 1, points_full = 0.5, points_reset = 0.5, points_forgiven = 0.5;
-constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(3);
+constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(10);
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
 // Groups: how far over share a server may go for a group's members.
