--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,7 +26,7 @@
 constexpr Span key_age_limit = seconds(30);
 // Distrust: points a failure, time in which half of it fades, and the first time-out of a failing server.
 constexpr double points_failed = 1, points_full = 0.5, points_reset = 0.5, points_forgiven = 0.5;
-constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(10);
+constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(3);
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
 // Groups: how far over share a server may go for a group's members.
@@ -114,7 +114,7 @@
     double least_over = 0;
     for (const Share& s : all) {
         if (back_in_pause
-                ? s.server != note->server
+                ? s.server != note->server && s.load + load <= s.ceiling
                 : s.load + load <= std::min(s.share * (draw_name.empty() ? 1 : group_slack), s.ceiling))
             (!call.group.empty() && servers_[s.server].groups.count(call.group) ? holding : below)
                 .push_back(s.server);
@@ -583,7 +583,7 @@
     Server& s = servers_[server];
     s.shedding = false;
     if (s.to_shed <= 0 || s.standing.empty()) return;
-    const CallId id = victim(s);
+    const CallId id = victim(now, s);
     if (!id) return;
     Call& call = calls_.at(id);
     s.to_shed -= load_of(call);
@@ -596,19 +596,23 @@
 // Spared keys stay until their server is balanced and go first after that (design 6). Of the others the one
 // that frees most work by one move: moves are priced, and a group's last member takes the group's own work
 // along.
-CallId Brain::victim(const Server& s) {
+CallId Brain::victim(Instant now, const Server& s) {
     const size_t from = static_cast<size_t>(chance_.uniform() * static_cast<double>(s.standing.size()));
     const Call* best = nullptr;
     double most = 0;
+    const bool slow = ceiling_of(now, s) < load_on(s);
     for (size_t k = 0; k < s.standing.size(); ++k) {
         const Call& call = calls_.at(s.standing[(from + k) % s.standing.size()]);
         if (call.legs.empty() || !call.legs.back().standing) continue;
         if (call.spared && s.spared_first) return call.id;
-        if (call.spared) continue;
+        // Sparing is from balancing. On a slow server it only means going last: there nobody is served
+        // (i14adcf).
+        if (call.spared && !slow) continue;
         const double load = load_of(call);
         const double work = call.group.empty() ? 0 : group_work / s.groups.at(call.group);
         const double freed = std::min(load, s.to_shed) + work;  // more than the excess is no gain
-        if (!best || freed > most) best = &call, most = freed;
+        const double rank = call.spared ? freed - group_work * 4 : freed;
+        if (!best || rank > most) best = &call, most = rank;
     }
     return best ? best->id : 0;
 }
--- a/src/brain.h
+++ b/src/brain.h
@@ -207,7 +207,7 @@
     void plan_shedding(Instant);
     void judge_term(Instant);
     void shed_one(Instant, int server);
-    CallId victim(const Server&);
+    CallId victim(Instant, const Server&);
     void start_shedding(Instant, int server, double load, int moves, Span over);
     void note_key(Instant, const Call&, int server, bool parked);
     const KeyNote* noted_key(Instant, const std::string&) const;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -46,7 +46,7 @@
     }
     void note_key(Instant t, const Call& c, const ServerId& id) { b.note_key(t, c, b.index_.at(id), false); }
     size_t keys() { return b.keys_.size(); }
-    CallId victim(const ServerId& id) { return b.victim(server(id)); }
+    CallId victim(Instant t, const ServerId& id) { return b.victim(t, server(id)); }
     std::vector<std::pair<Instant, uint64_t>> due(Written& w) { return std::exchange(w.timers, {}); }
 };
 
--- a/tests/test_terms.cpp
+++ b/tests/test_terms.cpp
@@ -44,10 +44,25 @@
     assert(w.sent.at(0).server == "full");
     b.leg_stands(pause, 77, 0, millis(5));
     assert(p.call(77).spared && p.server("full").spared == 1);
-    for (int k = 0; k < 50; ++k) assert(p.victim("full") != 77);
+    for (int k = 0; k < 50; ++k) assert(p.victim(pause, "full") != 77);
     stand(b, pause, "broken", 100, 21);  // balanced now
     p.plan_shedding(term_start + seconds(10));
-    assert(p.victim("full") == 77);
+    assert(p.victim(pause, "full") == 77);
+}};
+
+// Incident i14adcf: spared keys piled up on servers whose messages took two seconds, and none could be moved.
+static const Case sparing_does_not_hold_connections_on_a_slow_server{[] {
+    auto&& [w, b, p] = Rig({listed("slow"), listed("a"), listed("broken")});
+    stand(b, term_start, "slow", 1, 4);
+    for (CallId id = 1; id <= 4; ++id) p.call(id).spared = true;
+    assert(p.victim(term_start, "slow") == 0);
+    b.delay_told(term_start, "slow", 900);
+    assert(p.victim(term_start, "slow") != 0);
+    const Instant pause = term_start + seconds(7);
+    p.note_key(pause, call(0, pause, "k"), "broken");
+    for (CallId id = 10; id < 20; ++id) b.call_arrived(pause, call(id, pause, "k"));
+    for (const auto& s : w.sent)
+        assert(s.server == "a");  // slow is at its ceiling, also for keys to be spared
 }};
 
 static const Case outside_the_pause_a_noted_key_goes_below_share{[] {
