--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,7 +36,7 @@
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 constexpr double group_work = 4;
-constexpr double group_slack = 1.25;
+constexpr double group_slack = 1.25, group_spread = 1.3;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
@@ -104,24 +104,33 @@
         call.chosen = note->server;  // the server that still holds it, also while that one drains
         return Verdict::pass_on;
     }
-    const std::vector<Share> all = shares(now, &call);
+    std::vector<Share> all = shares(now, &call);
     if (all.empty()) return Verdict::keep;
-    std::vector<int> below, holding;
+    std::vector<int> below, holding, home_free;
     const bool back_in_pause = note && !note->parked && in_pause(now);
     const std::string& draw_name = draw_name_of(call);
     const double load = load_of(call);
     const Share* least = nullptr;
     double least_over = 0;
+    const int home = home_of(call, all);
+    bool home_slow = false;
     for (const Share& s : all) {
-        if (back_in_pause
-                ? s.server != note->server && s.load + load <= s.ceiling
-                : s.load + load <= std::min(s.share * (draw_name.empty() ? 1 : group_slack), s.ceiling))
-            (!call.group.empty() && servers_[s.server].groups.count(call.group) ? holding : below)
-                .push_back(s.server);
-        if (s.load + load > s.ceiling) continue;
+        const bool fits = s.load + load <= s.ceiling;
+        const bool at_home = &s - all.data() < home;
+        home_slow |= at_home && !fits;
+        if (!fits) continue;
+        const double limit = s.share * (draw_name.empty() ? 1 : group_slack);
+        if (back_in_pause ? s.server != note->server : s.load + load <= limit) {
+            const bool holds = !call.group.empty() && servers_[s.server].groups.count(call.group);
+            (at_home ? home_free : holds ? holding : below).push_back(s.server);
+        }
         const double over = (s.load + load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
+    if (!home_free.empty())
+        holding.swap(home_free);
+    else if (home_slow && holding.empty())
+        return Verdict::end;
     if (!holding.empty())
         below.swap(holding);  // a server that holds the group already is not given its work twice
     if (below.empty() && !least)
@@ -134,6 +143,24 @@
     return Verdict::pass_on;
 }
 
+int Brain::members_of(const std::string& group) const {
+    const auto it = group_members_.find(group);
+    return it == group_members_.end() ? 0 : it->second;
+}
+
+// A group's home: the first servers of its draw whose shares hold it. Sorts the shares by draw; returns how
+// many.
+int Brain::home_of(const Call& call, std::vector<Share>& all) {
+    if (call.group.empty()) return 0;
+    const std::vector<double>& draws = draws_of(call.group);
+    std::sort(all.begin(), all.end(),
+              [&](const Share& a, const Share& b) { return draws[a.server] < draws[b.server]; });
+    double needed = group_spread * (load_of(call) + members_of(call.group));
+    int home = 0;
+    while (home < static_cast<int>(all.size()) && needed > 0) needed -= all[home++].share;
+    return home;
+}
+
 Brain::Verdict Brain::send(Instant now, Call& call) {
     const Span left = call.guard - now;
     const bool last = static_cast<int>(call.legs.size()) + 1 >= told_.max_legs;
@@ -346,7 +373,7 @@
         s.told_load += call.load;
     else
         s.untold[call.type] += 1;
-    if (!call.group.empty()) ++s.groups[call.group];
+    if (!call.group.empty()) ++s.groups[call.group], ++group_members_[call.group];
     if (call.spared) ++s.spared, s.spared_first = false;
 }
 
@@ -363,6 +390,8 @@
     else
         s.untold[call.type] -= 1;
     if (const auto g = s.groups.find(call.group); g != s.groups.end() && --g->second == 0) s.groups.erase(g);
+    if (const auto g = group_members_.find(call.group); g != group_members_.end() && --g->second == 0)
+        group_members_.erase(g);
     if (call.spared) --s.spared;
 }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -199,6 +199,8 @@
     void count(Server&, Call&);
     void uncount(Call&);
     void move_call(Instant, Call&);
+    int members_of(const std::string& group) const;
+    int home_of(const Call&, std::vector<Share>&);
     const std::string& draw_name_of(const Call&) const;
     const std::vector<double>& draws_of(const std::string& group);
     int pick(const Call&, const std::vector<int>&);
@@ -224,6 +226,7 @@
     std::map<ServerId, int> index_;
     std::unordered_map<CallId, Call> calls_;
     std::deque<CallId> held_;
+    std::unordered_map<std::string, int> group_members_;          // own standing ones
     std::unordered_map<std::string, std::vector<double>> draws_;  // looked up only, never walked
     std::vector<double> type_load_, type_seen_;
     std::map<std::string, KeyNote> keys_;
