--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -114,22 +114,24 @@
     double least_over = 0;
     const int home = home_of(call, all);
     bool home_slow = false;
+    size_t slow = 0;
     for (const Share& s : all) {
         const bool fits = s.load + load <= s.ceiling;
         const bool at_home = &s - all.data() < home;
         home_slow |= at_home && !fits;
+        slow += !fits;
         if (!fits) continue;
         const double limit = s.share * (draw_name.empty() ? 1 : group_slack);
         if (back_in_pause ? s.server != note->server : s.load + load <= limit) {
             const bool holds = !call.group.empty() && servers_[s.server].groups.count(call.group);
-            (at_home ? home_free : holds ? holding : below).push_back(s.server);
+            (holds ? holding : at_home ? home_free : below).push_back(s.server);
         }
         const double over = (s.load + load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
-    if (!home_free.empty())
+    if (holding.empty() && !home_free.empty())
         holding.swap(home_free);
-    else if (home_slow && holding.empty())
+    else if (home_slow && holding.empty() && 2 * slow > all.size())
         return Verdict::end;
     if (!holding.empty())
         below.swap(holding);  // a server that holds the group already is not given its work twice
