--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -131,7 +131,7 @@
     }
     if (holding.empty() && !home_free.empty())
         holding.swap(home_free);
-    else if (home_slow && holding.empty() && 2 * slow > all.size())
+    else if (home_slow && holding.empty() && 3 * slow > all.size())
         return Verdict::end;
     if (!holding.empty())
         below.swap(holding);  // a server that holds the group already is not given its work twice
