--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -640,14 +640,7 @@
         // (i14adcf).
         if (call.spared && !slow) continue;
         const double load = load_of(call);
-        double work = call.group.empty() ? 0 : group_work / s.groups.at(call.group);
-        if (!call.group.empty()) {
-            const std::vector<double>& draws = draws_of(call.group);
-            int ahead = 0;
-            for (size_t n = 0; n < servers_.size(); ++n)
-                ahead += draws[n] < draws[call.legs.back().server] && usable(now, servers_[n]);
-            if (ahead >= 3) work += 2;
-        }
+        const double work = call.group.empty() ? 0 : group_work / s.groups.at(call.group);
         const double freed = std::min(load, s.to_shed) + work;  // more than the excess is no gain
         const double rank = call.spared ? freed - group_work * 4 : freed;
         if (!best || rank > most) best = &call, most = rank;
