--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,7 @@
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
 // Groups: how far over share a server may go for a group's members.
-constexpr double foreign_weight = 0.2;
+constexpr double own_zone_favour = 1.15;  // over the own zone's fair part of the traffic
 // Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
@@ -264,10 +264,12 @@
 
 bool Brain::cold(Instant now, const Server& s) const { return ramp(now, s) < 1; }
 
-// Crossing zones is priced: a server of another zone counts for less, where the price is told.
+// Crossing zones is priced: the own zone's servers weigh more, but only so much that their part of the
+// traffic stays near its fair one. A fixed weight overloaded them where the zones are many and small.
 double Brain::base_weight(const Server& s) const {
     const double weight = std::max(s.listed.weight, 1e-3);
-    return s.listed.zone == told_.zone || told_.cross_zone_price <= 0 ? weight : weight * foreign_weight;
+    if (s.listed.zone == told_.zone || told_.cross_zone_price <= 0 || told_.zones < 2) return weight;
+    return weight * (told_.zones / own_zone_favour - 1) / (told_.zones - 1);
 }
 
 double Brain::trust(Instant now, const Server& s) const { return 1 / (1 + distrust(now, s)); }
