--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,7 @@
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
 // Groups: how far over share a server may go for a group's members.
-constexpr double own_zone_favour = 1.15;  // over the own zone's fair part of the traffic
+constexpr double own_zone_favour = 1.33;  // over the own zone's fair part of the traffic
 // Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
@@ -364,7 +364,7 @@
     while (draws.size() < servers_.size()) {
         const Listed& listed = servers_[draws.size()].listed;
         const double u = Pcg32(hash_of(group), hash_of(listed.server)).uniform();
-        draws.push_back(-std::log(u) / base_weight(servers_[draws.size()]));
+        draws.push_back(-std::log(u) / std::max(listed.weight, 1e-3));
     }
     return draws;
 }
