--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,13 +30,13 @@
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
 // Groups: how far over share a server may go for a group's members.
-constexpr double own_zone_favour = 1.33;  // over the own zone's fair part of the traffic
 // Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 constexpr double group_work = 4;
 constexpr double group_slack = 1.25, group_spread = 1.3;
+constexpr int slow_fleet = 3;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
@@ -44,6 +44,9 @@
 
 enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again };
 
+// A list may name a server without weight; it still counts for something, so that shares stay finite.
+double weight_of(const Server& s) { return std::max(s.listed.weight, 1e-3); }
+
 uint64_t hash_of(const std::string& text) {
     uint64_t h = 1469598103934665603ULL;
     for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
@@ -106,38 +109,36 @@
     }
     std::vector<Share> all = shares(now, &call);
     if (all.empty()) return Verdict::keep;
-    std::vector<int> below, holding, home_free;
+    // By preference: servers that hold the group, as its work is there anyway; its home; any other below
+    // share.
+    std::vector<int> holding, at_home, below;
     const bool back_in_pause = note && !note->parked && in_pause(now);
-    const std::string& draw_name = draw_name_of(call);
-    const double load = load_of(call);
+    const double load = load_of(call), slack = draw_name_of(call).empty() ? 1 : group_slack;
     const Share* least = nullptr;
     double least_over = 0;
     const int home = home_of(call, all);
-    bool home_slow = false;
-    size_t slow = 0;
-    for (const Share& s : all) {
-        const bool fits = s.load + load <= s.ceiling;
-        const bool at_home = &s - all.data() < home;
-        home_slow |= at_home && !fits;
-        slow += !fits;
-        if (!fits) continue;
-        const double limit = s.share * (draw_name.empty() ? 1 : group_slack);
-        if (back_in_pause ? s.server != note->server : s.load + load <= limit) {
+    int slow = 0, slow_at_home = 0;
+    for (int k = 0; k < static_cast<int>(all.size()); ++k) {
+        const Share& s = all[k];
+        if (s.load + load > s.ceiling) {
+            ++slow;
+            slow_at_home += k < home;
+            continue;
+        }
+        if (back_in_pause ? s.server != note->server : s.load + load <= s.share * slack) {
             const bool holds = !call.group.empty() && servers_[s.server].groups.count(call.group);
-            (holds ? holding : at_home ? home_free : below).push_back(s.server);
+            (holds ? holding : k < home ? at_home : below).push_back(s.server);
         }
         const double over = (s.load + load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
-    if (holding.empty() && !home_free.empty())
-        holding.swap(home_free);
-    else if (home_slow && holding.empty() && 3 * slow > all.size())
-        return Verdict::end;
-    if (!holding.empty())
-        below.swap(holding);  // a server that holds the group already is not given its work twice
-    if (below.empty() && !least)
-        return Verdict::end;  // every server is slow already: more would serve nobody
-    call.chosen = below.empty() ? least->server : pick(call, below);
+    if (!least) return Verdict::end;  // every server is slow already: more would serve nobody
+    // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
+    // (i14adcf).
+    const bool scatters = holding.empty() && at_home.empty() && slow_at_home > 0;
+    if (scatters && slow * slow_fleet > static_cast<int>(all.size())) return Verdict::end;
+    const std::vector<int>& from = !holding.empty() ? holding : !at_home.empty() ? at_home : below;
+    call.chosen = from.empty() ? least->server : pick(call, from);
     call.spared = false;
     if (back_in_pause)
         for (const Share& s : all)
@@ -264,14 +265,6 @@
 
 bool Brain::cold(Instant now, const Server& s) const { return ramp(now, s) < 1; }
 
-// Crossing zones is priced: the own zone's servers weigh more, but only so much that their part of the
-// traffic stays near its fair one. A fixed weight overloaded them where the zones are many and small.
-double Brain::base_weight(const Server& s) const {
-    const double weight = std::max(s.listed.weight, 1e-3);
-    if (s.listed.zone == told_.zone || told_.cross_zone_price <= 0 || told_.zones < 2) return weight;
-    return weight * (told_.zones / own_zone_favour - 1) / (told_.zones - 1);
-}
-
 double Brain::trust(Instant now, const Server& s) const { return 1 / (1 + distrust(now, s)); }
 
 bool Brain::usable(Instant now, const Server& s) const {
@@ -306,7 +299,7 @@
             const bool ready = round == 0 ? usable(now, s) : s.listed.condition == Condition::active;
             if (!ready || (call && !in_scope(*call, s))) continue;
             if (call && !call->legs.empty() && call->legs.back().server == k && round == 0) continue;
-            const double weight = base_weight(s);
+            const double weight = weight_of(s);
             const double share = weight * ramp(now, s) * trust(now, s);
             weights += share;
             full_weights += weight;
@@ -316,7 +309,7 @@
         if (!call) continue;
         std::erase_if(all, [&](const Share& s) {
             const Server& server = servers_[s.server];
-            return !cold_budget_left(now, server, connections * base_weight(server) / full_weights);
+            return !cold_budget_left(now, server, connections * weight_of(server) / full_weights);
         });
     }
     return all;
@@ -364,7 +357,7 @@
     while (draws.size() < servers_.size()) {
         const Listed& listed = servers_[draws.size()].listed;
         const double u = Pcg32(hash_of(group), hash_of(listed.server)).uniform();
-        draws.push_back(-std::log(u) / std::max(listed.weight, 1e-3));
+        draws.push_back(-std::log(u) / weight_of(servers_[draws.size()]));
     }
     return draws;
 }
@@ -540,9 +533,9 @@
     double load = 0, weights = 0;
     for (const Server& other : servers_) {
         load += load_on(other);
-        if (other.listed.condition == Condition::active) weights += base_weight(other);
+        if (other.listed.condition == Condition::active) weights += weight_of(other);
     }
-    return weights > 0 ? load * base_weight(s) / weights : 0;
+    return weights > 0 ? load * weight_of(s) / weights : 0;
 }
 
 // Where servers report the load asked of them over what they can do, a ceiling need not wait for slow
--- a/src/brain.h
+++ b/src/brain.h
@@ -45,7 +45,7 @@
 struct Deployment {
     std::vector<TrafficType> types;
     std::vector<Tenant> tenants;
-    int zone = 0, zones = 1, group_size = 1, max_legs = 1;
+    int zone = 0, group_size = 1, max_legs = 1;
     bool ask_list = false, pass_mode = false, groups = false, may_probe = false, advises = false;
     bool probe_reports = false;
     Span ask_every, park, max_advice, answer_slack, step;
@@ -181,7 +181,6 @@
     void hold(Instant, Call&);
     bool in_scope(const Call&, const Server&) const;
     std::vector<Share> shares(Instant, const Call*);
-    double base_weight(const Server&) const;
     static void spread(std::vector<Share>&, double total, double weights);
     double ceiling_of(Instant, const Server&) const;
     double full_share(const Server&) const;
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -201,7 +201,6 @@
         }
     }
     d.zone = small_or_zero(o, "az");
-    if (find(o, "failureDomains")) d.zones = static_cast<int>(array(o, "failureDomains").Size());
     d.group_size = std::max(1, small(o, "groupSize"));
     d.max_legs = small(ceilings, "maxLegs");
     d.may_probe = flag_or(ceilings, "probing", false);
--- a/tests/test_placing.cpp
+++ b/tests/test_placing.cpp
@@ -95,4 +95,39 @@
     assert(!p.holds(300));
 }};
 
+static std::vector<Listed> twelve() {
+    std::vector<Listed> list;
+    for (char c = 'a'; c <= 'l'; ++c) list.push_back(listed(std::string(1, c)));
+    return list;
+}
+
+// Incident i14adcf: with part of the fleet lost, fourteen groups stood on 130 server places.
+static const Case a_group_keeps_to_its_holders_and_its_home{[] {
+    auto&& [w, b, p] = Rig(twelve());
+    CallId id = 1000;
+    for (const Listed& l : twelve()) stand(b, term_start, l.server, id += 100, 8);
+    for (CallId c = 1; c <= 16; ++c) b.call_arrived(term_start, call(c, term_start, "", "g"));
+    std::map<ServerId, int> places;
+    for (const auto& s : w.sent) ++places[s.server];
+    assert(w.sent.size() == 16 && places.size() <= 8);
+    assert(places[w.sent[0].server] >= 2);  // filled to a quarter over share before the next is opened
+}};
+
+static const Case a_slow_home_rejects_only_while_much_of_the_fleet_is_slow{[] {
+    for (const int slow : {1, 8}) {
+        auto&& [w, b, p] = Rig(twelve());
+        CallId id = 1000;
+        for (const Listed& l : twelve()) stand(b, term_start, l.server, id += 100, 8);
+        b.call_arrived(term_start, call(1, term_start, "", "g"));
+        const ServerId first = w.sent.at(0).server;
+        b.call_gone(term_start, 1);
+        b.delay_told(term_start, first, 900);
+        int told = 1;
+        for (const Listed& l : twelve())
+            if (l.server != first && told < slow) b.delay_told(term_start, l.server, 900), ++told;
+        b.call_arrived(term_start, call(2, term_start, "", "g"));
+        assert(slow == 8 ? w.rejected.size() == 1 : w.sent.size() == 2 && w.sent[1].server != first);
+    }
+}};
+
 int main() {}
