--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -507,12 +507,13 @@
     s.delay = delay;
     const double load = load_on(s), asked = std::clamp(1 + slope, 0.5, 2.5);
     const double wanted = std::max(least_use, good_use - delay / backlog_time);
-    double ceiling = ceiling_of(now, s);
+    double ceiling = bare_ceiling(now, s);
     if (delay < in_seconds(shortest_message_) * slow_from) {
         ceiling = std::min(ceiling, load);
     } else {
         ceiling = std::min(ceiling, load * std::min(1.0, wanted / asked));
-        const double excess = load - ceiling;
+        s.rounding = chance_.uniform() / std::max(1.0, full_share(s));
+        const double excess = load - ceiling - s.rounding;
         const double each = load / std::max<double>(1, static_cast<double>(s.standing.size()));
         const int server = index_.at(id);
         if (excess > 0)
@@ -523,12 +524,17 @@
 }
 
 // Seconds of fading distrust bring back what the notes took: a share of a usual server's load each second.
-double Brain::ceiling_of(Instant now, const Server& s) const {
+double Brain::bare_ceiling(Instant now, const Server& s) const {
     if (s.ceiling < 0) return unbounded;
     const double t = in_seconds(now - s.ceiling_at);
     return t > ceiling_life ? unbounded : s.ceiling + t * ceiling_growth * std::max(1.0, full_share(s));
 }
 
+// Many balancers hold a connection or none each on a server: rounded by chance, their whole connections add
+// up to what it can do; cut off all alike, they would leave it empty (ief3d44). With many connections it
+// hardly matters.
+double Brain::ceiling_of(Instant now, const Server& s) const { return bare_ceiling(now, s) + s.rounding; }
+
 double Brain::full_share(const Server& s) const {
     double load = 0, weights = 0;
     for (const Server& other : servers_) {
@@ -545,7 +551,7 @@
     const double x = std::max(*report.load_share, 0.05), load = load_on(s);
     const double fits = load * good_use / x;
     if (x > good_use) {
-        s.ceiling = std::min(ceiling_of(now, s), fits);
+        s.ceiling = std::min(bare_ceiling(now, s), fits);
         s.ceiling_at = now;
     }
 }
--- a/src/brain.h
+++ b/src/brain.h
@@ -114,6 +114,7 @@
     double delay = 0;     // seconds that a message was last told to take here
     double ceiling = -1;  // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
+    double rounding = 0;  // of the ceiling, by chance
     int sent_in_term = 0, lost_in_term = 0;
     std::array<double, 6> excess{};
     double to_shed = 0;  // in usual connections
@@ -182,6 +183,7 @@
     bool in_scope(const Call&, const Server&) const;
     std::vector<Share> shares(Instant, const Call*);
     static void spread(std::vector<Share>&, double total, double weights);
+    double bare_ceiling(Instant, const Server&) const;
     double ceiling_of(Instant, const Server&) const;
     double full_share(const Server&) const;
     double trust(Instant, const Server&) const;
