--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -512,7 +512,7 @@
         ceiling = std::min(ceiling, load);
     } else {
         ceiling = std::min(ceiling, load * std::min(1.0, wanted / asked));
-        s.rounding = chance_.uniform() / std::max(1.0, full_share(s));
+        s.rounding = chance_.uniform() / std::max(1.0, std::pow(full_share(s), 2));
         const double excess = load - ceiling - s.rounding;
         const double each = load / std::max<double>(1, static_cast<double>(s.standing.size()));
         const int server = index_.at(id);
--- a/tests/test_placing.cpp
+++ b/tests/test_placing.cpp
@@ -85,6 +85,21 @@
     assert(p.ceiling(t + seconds(10), "a") > ceiling);  // won back by itself
 }};
 
+// Incident ief3d44: with a connection each, all balancers cut a server off alike and left it empty.
+static const Case balancers_with_one_connection_do_not_all_cut_it_off{[] {
+    int shed = 0;
+    for (uint64_t seed = 0; seed < 200; ++seed) {
+        Written w;
+        Brain b(deployment(), seed, w, term_start);
+        b.list_told(term_start, ListKind::complete, {listed("a"), listed("b")});
+        stand(b, term_start, "a", 1, 1);
+        stand(b, term_start, "b", 2, 1);
+        b.delay_told(term_start, "a", 300);  // asked 1.3 of what it can do: three in five are to stay
+        shed += Peek{b}.server("a").shedding;
+    }
+    assert(shed > 50 && shed < 110);
+}};
+
 static const Case all_slow_is_rejected_at_once_with_advice{[] {
     auto&& [w, b, p] = Rig({listed("a"), listed("b")});
     stand(b, term_start, "a", 1, 20);
