--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -396,12 +396,14 @@
 
 void Brain::call_arrived(Instant now, Call call) {
     const CallId id = call.id;
+    if (call.hinted_load) learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
     Call& kept = calls_[id] = std::move(call);
     run_chain(now, kept);
 }
 
 void Brain::call_inherited(Instant now, Call call, const ServerId& server) {
     if (!index_.count(server)) apply_listed(now, Listed{server, 1, Condition::left, 0, 0, {}});
+    if (call.hinted_load) learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
     Call& kept = calls_[call.id] = std::move(call);
     kept.legs.push_back(Leg{index_.at(server), now, false, true});
     kept.may_have_run = 0;
@@ -459,6 +461,13 @@
     forget(id);
 }
 
+// What a type needs is halved in weight now and then, so that old days do not outvote the present one.
+void Brain::learn(int type, double micros) {
+    if (type_seen_[type] > 400) type_load_[type] /= 2, type_seen_[type] /= 2;
+    type_load_[type] += micros;
+    type_seen_[type] += 1;
+}
+
 void Brain::load_told(Instant, CallId id, double micros) {
     const auto it = calls_.find(id);
     if (it == calls_.end() || it->second.slot < 0 || !(micros >= 0)) return;
@@ -469,9 +478,7 @@
     else
         s.untold[call.type] -= 1, s.told_load += micros;
     call.load = micros;
-    if (type_seen_[call.type] > 400) type_load_[call.type] /= 2, type_seen_[call.type] /= 2;
-    type_load_[call.type] += micros;
-    type_seen_[call.type] += 1;
+    learn(call.type, micros);
 }
 
 // ---- distrust ----
--- a/src/brain.h
+++ b/src/brain.h
@@ -32,25 +32,16 @@
     Effect effect = Effect::repeatable;
     Scope scope = Scope::all;
     Span setup_target, guard_time, window;
-    double revenue = 0;
     Span message_target;  // zero where none is told
 };
 
-struct Tenant {
-    double connection_quota =
-        0;  // open connections over all balancers within its share; zero where none is told
-};
-
 // What a balancer is told once, when it starts.
 struct Deployment {
     std::vector<TrafficType> types;
-    std::vector<Tenant> tenants;
-    int zone = 0, group_size = 1, max_legs = 1;
-    bool ask_list = false, pass_mode = false, groups = false, may_probe = false, advises = false;
-    bool probe_reports = false;
-    Span ask_every, park, max_advice, answer_slack, step;
-    Span cold_time, fall_time, drain_grace;
-    double cold_share = 1, fall_multiple = 1, cross_zone_price = 0, move_price = 0, surplus_revenue = 1;
+    int tenants = 0;
+    int max_legs = 1;
+    bool ask_list = false, pass_mode = false, groups = false, advises = false;
+    Span park, max_advice, step, cold_time;
 };
 
 struct Listed {
@@ -84,7 +75,7 @@
 };
 
 struct LoadReport {
-    std::optional<double> load_share, busy, backlog;  // asked over capacity, cores in use, seconds piled up
+    std::optional<double> load_share;  // asked of the server over what it can do
 };
 
 class Actions {
@@ -192,6 +183,7 @@
     bool usable(Instant, const Server&) const;
     bool cold_budget_left(Instant, const Server&, double share) const;
     double usual_load() const;
+    void learn(int type, double micros);
     double load_of(const Call&) const;
     double load_on(const Server&) const;
     double distrust(Instant, const Server&) const;
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -51,10 +51,6 @@
     return v.GetDouble();
 }
 
-double real_or(const Json& o, const char* name, double otherwise) {
-    return find(o, name) ? real(o, name) : otherwise;
-}
-
 bool flag(const Json& o, const char* name) {
     const Json& v = need(o, name);
     if (!v.IsBool()) wrong(name, "a bool");
@@ -115,8 +111,6 @@
     if (!find(f, "report")) return r;
     const Json& o = object(f, "report");
     if (find(o, "x0")) r.load_share = real(o, "x0");
-    if (find(o, "busy")) r.busy = real(o, "busy");
-    if (find(o, "x1")) r.backlog = real(o, "x1");
     return r;
 }
 
@@ -127,8 +121,7 @@
     if (c.type >= static_cast<int>(told.types.size()))
         wrong("kind", "one of the traffic types told at start");
     c.tenant = small_or_zero(f, "account");
-    if (!told.tenants.empty() && c.tenant >= static_cast<int>(told.tenants.size()))
-        wrong("account", "one of the tenants told at start");
+    if (told.tenants > 0 && c.tenant >= told.tenants) wrong("account", "one of the tenants told at start");
     c.again = flag(f, "again");
     c.mid_flow = flag(f, "midFlow");
     c.key = text_or(f, "affinity", "");
@@ -178,7 +171,6 @@
         row.setup_target = span(t, "setupTargetNs");
         row.guard_time = span(t, "guardTimeNs");
         row.window = span_or_zero(t, "windowNs");
-        row.revenue = real_or(t, "revenue", 1);
         d.types.push_back(row);
     }
     if (d.types.empty()) wrong("trafficTypes", "a list with at least one traffic type");
@@ -190,43 +182,16 @@
             d.types[k].message_target = Span{aims[static_cast<rapidjson::SizeType>(k)].GetInt64()};
         }
     }
-    if (find(o, "realms")) d.tenants.resize(array(o, "realms").Size());
-    if (find(domain, "tenantQuotaConnections")) {
-        const Json& quotas = array(domain, "tenantQuotaConnections");
-        for (size_t k = 0; k < d.tenants.size() && k < quotas.Size(); ++k) {
-            const Json& quota = quotas[static_cast<rapidjson::SizeType>(k)];
-            if (quota.IsNull()) continue;  // a tenant without one
-            if (!quota.IsNumber()) wrong("tenantQuotaConnections", "a list of numbers");
-            d.tenants[k].connection_quota = quota.GetDouble();
-        }
-    }
-    d.zone = small_or_zero(o, "az");
-    d.group_size = std::max(1, small(o, "groupSize"));
+    if (find(o, "realms")) d.tenants = static_cast<int>(array(o, "realms").Size());
     d.max_legs = small(ceilings, "maxLegs");
-    d.may_probe = flag_or(ceilings, "probing", false);
     d.advises = flag_or(ceilings, "retryAfter", false);
     d.max_advice = span_or_zero(ceilings, "maxRetryAfterNs");
     d.ask_list = one_of<bool>(o, "discovery", {{"push", false}, {"ask", true}});
     d.pass_mode = text_or(domain, "mode", "proxy") == "pass";
     d.groups = flag_or(domain, "groups", false);
     d.park = span_or_zero(domain, "parkNs");
-    if (find(o, "report")) {
-        const Json& reports = object(o, "report");
-        d.probe_reports = text_or(reports, "how", "silent") == "pull";
-    }
     d.step = span_or_zero(o, "stepNs");
-    d.ask_every = span_or_zero(rules, "askEveryNs");
-    d.answer_slack = span_or_zero(rules, "answerSlackNs");
     d.cold_time = span(rules, "coldNs");
-    d.cold_share = real(rules, "coldShare");
-    d.drain_grace = span(rules, "drainGraceNs");
-    d.fall_multiple = real(rules, "fallMultiple");
-    d.fall_time = span(rules, "fallNs");
-    if (find(o, "charges")) {
-        d.cross_zone_price = real_or(object(o, "charges"), "crossZone", 0);
-        d.move_price = real_or(object(o, "charges"), "moves", 0);
-    }
-    d.surplus_revenue = real_or(o, "surplusRevenue", 1);
     return d;
 }
 
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -60,12 +60,9 @@
 
 inline Deployment deployment(Effect effect = Effect::repeatable, Scope scope = Scope::all) {
     Deployment d;
-    d.types = {{effect, scope, millis(300), seconds(2), seconds(5), 1, millis(50)}};
+    d.types = {{effect, scope, millis(300), seconds(2), seconds(5), millis(50)}};
     d.max_legs = 4;
     d.cold_time = seconds(10);
-    d.fall_time = seconds(1);
-    d.cold_share = 0.3;
-    d.fall_multiple = 3;
     d.advises = true;
     d.max_advice = seconds(2);
     d.step = millis(2);
--- a/tests/test_list.cpp
+++ b/tests/test_list.cpp
@@ -18,7 +18,6 @@
     Written w;
     Deployment d = deployment();
     d.ask_list = true;
-    d.ask_every = seconds(10);
     Brain b(d, 1, w, term_start);
     assert(w.asks == 1);
     Instant now = term_start;
--- a/tests/test_placing.cpp
+++ b/tests/test_placing.cpp
@@ -44,6 +44,17 @@
     assert(p.load("a") < 1e-6);
 }};
 
+static const Case a_hinted_load_counts_until_one_is_told{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    Call heavy = call(1, term_start), light = call(2, term_start);
+    heavy.hinted_load = millis(90), light.hinted_load = millis(10);
+    b.call_inherited(term_start, heavy, "a");
+    b.call_inherited(term_start, light, "b");
+    assert(p.load("a") > 8.9 * p.load("b"));
+    b.load_told(term_start, 1, 10'000);
+    assert(p.load("a") < 1.1 * p.load("b"));
+}};
+
 // A group that stands on many servers is paid for on each (first kolkata-setu days).
 static const Case balancers_draw_the_same_server_for_a_group{[] {
     std::vector<ServerId> chosen[2];
--- a/tests/test_wire.cpp
+++ b/tests/test_wire.cpp
@@ -43,13 +43,10 @@
 
 static const Case settings_are_read{[] {
     const Deployment d = deployment_from(one_line(boot));
-    assert(d.zone == 1 && d.group_size == 2 && d.max_legs == 4 && d.groups && !d.pass_mode && !d.ask_list);
+    assert(d.max_legs == 4 && d.groups && !d.pass_mode && !d.ask_list);
     assert(d.types.size() == 2 && d.types[1].effect == Effect::referenced && d.types[1].scope == Scope::cell);
-    assert(d.types[0].message_target == millis(60) && d.types[1].window == Span{3} &&
-           d.types[1].revenue == 2.5);
-    assert(d.tenants.size() == 2 && d.tenants[0].connection_quota == 5.5 &&
-           d.tenants[1].connection_quota == 0);
-    assert(d.cold_share == 0.31 && d.fall_time == seconds(1) && d.drain_grace == seconds(3));
+    assert(d.types[0].message_target == millis(60) && d.types[1].window == Span{3});
+    assert(d.tenants == 2 && d.cold_time == seconds(8.7) && d.max_advice == seconds(1.5));
 }};
 
 static const Case a_batch_is_answered{[] {
@@ -102,7 +99,7 @@
     assert(says(fault({spawn, without(list, "Complete", "Whole")}), "'mode'"));
     assert(says(fault({spawn, without(list, "\"server\":\"s.a\",")}), "'server'"));
     assert(says(fault({spawn, without(list, "1.5", "-1")}), "'units'"));
-    assert(says(fault({without(spawn, "\"coldShare\":0.31,")}), "'coldShare'"));
+    assert(says(fault({without(spawn, "\"coldNs\":8700000000,")}), "'coldNs'"));
     assert(says(fault({without(spawn, "\"pure\"", "\"sure\"")}), "'effect'"));
     assert(
         says(fault({spawn, R"({"UpdateOf":{"i":3,"ref":1,"seqNo":0,"sort":2,"server":"x","x":1}})"}), "'x'"));
