--- a/tests/test_wire.cpp
+++ b/tests/test_wire.cpp
@@ -68,6 +68,7 @@
     Instances instances;
     for (const std::string& line : {std::string(R"({"Clock":{"momentNs":1000}})"), spawn, list, job})
         instances.take(line);
+    instances.take(R"({"Mail":{"i":3,"by":1,"contents":"x"}})");  // heard, and of no use to a balancer
     instances.take(R"({"Killed":{"i":3}})");
     instances.take(spawn);
     instances.take(R"({"Ring":{"i":3,"cookie":770}})");
