Cold servers get legs at permits drawn by chance from each balancer's own rate of calls

Now each keeps to its own fresh calls' rate in the server's part by weight, times half of the rule's multiple, times how warm it is; the moments are drawn by chance.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,6 +36,10 @@
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 constexpr double group_work = 4;
 constexpr double group_slack = 1.25, group_spread = 1.3;
+// Rule 4: the part of what pushes a cold server over that all balancers together send it, and the time by
+// which a rate of calls is counted late, so that the first seconds of a balancer do not overstate it.
+constexpr double cold_part = 0.5, weight_kept = 0.9;
+constexpr Span rate_known = seconds(4);
 constexpr int slow_fleet = 3;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -66,6 +70,7 @@
       chance_(seed),
       type_load_(told_.types.size()),
       type_seen_(told_.types.size()),
+      born_(now),
       ask_pause_(first_ask_pause) {
     shortest_message_ = seconds(1000);
     for (const TrafficType& t : told_.types)
@@ -173,7 +178,7 @@
     call.legs.push_back(Leg{call.chosen, now, true, false});
     ++s.setting_up;
     ++s.sent_in_term;
-    s.last_sent = now;
+    if (s.permit) s.permit = next_permit(*s.permit, s, weight_of(s) / usual_weight_, false);
     count(s, call);
     out_.send_leg(call.id, s.listed.server, patience);
     return Verdict::pass_on;
@@ -272,10 +277,26 @@
     return s.failures_in_row == 0 || s.setting_up == 0;  // a failing server is tried by one leg at a time
 }
 
-// Rule 4: every balancer of the group keeps to what fills its own share of the server over the warm-up.
-bool Brain::cold_budget_left(Instant now, const Server& s, double share) const {
+// Rule 4: what the fleet is usually asked, in the server's part by weight, keeps a warm server busy at most;
+// every balancer keeps to its own fresh calls' rate in that part, times what the rule leaves room for, times
+// how warm the server is. Where that is far below one leg in the warm-up, the moments are drawn by chance, so
+// that hundreds of balancers that hear of the server at once come one by one and most of them not at all.
+bool Brain::permitted(Instant now, Server& s, double part) {
     if (!cold(now, s)) return true;
-    return now - s.last_sent >= told_.cold_time * (1 / std::max(1.0, share));
+    if (!s.permit) s.permit = next_permit(now, s, part, true);
+    while (*s.permit + told_.fall_time < now) s.permit = next_permit(*s.permit, s, part, false);
+    return *s.permit <= now;
+}
+
+Instant Brain::next_permit(Instant from, const Server& s, double part, bool first) {
+    const double rate = (fresh_calls_ + 1) / in_seconds(from - born_ + rate_known);
+    const double most = std::max(rate * part * told_.fall_multiple * cold_part, 1e-3);
+    Instant at = from;
+    for (bool drawn = false; !drawn && cold(at, s); first = false) {
+        at = at + seconds((first ? chance_.uniform() : 0.5 + chance_.uniform()) / most);
+        drawn = chance_.uniform() < std::max(told_.cold_share, ramp(at, s));
+    }
+    return at;
 }
 
 bool Brain::in_scope(const Call& call, const Server& s) const {
@@ -290,26 +311,23 @@
 std::vector<Brain::Share> Brain::shares(Instant now, const Call* call) {
     std::vector<Share> all;
     for (int round = 0; round < 2 && all.empty(); ++round) {
-        double total = call ? load_of(*call) : 0, weights = 0, full_weights = 0, connections = 0;
+        double total = call ? load_of(*call) : 0, weights = 0;
         for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
             const Server& s = servers_[k];
             const double load = load_on(s);
             total += load;
-            connections += static_cast<double>(s.standing.size());
             const bool ready = round == 0 ? usable(now, s) : s.listed.condition == Condition::active;
             if (!ready || (call && !in_scope(*call, s))) continue;
             if (call && !call->legs.empty() && call->legs.back().server == k && round == 0) continue;
-            const double weight = weight_of(s);
-            const double share = weight * ramp(now, s) * trust(now, s);
+            const double share = weight_of(s) * ramp(now, s) * trust(now, s);
             weights += share;
-            full_weights += weight;
             all.push_back({k, load, share, ceiling_of(now, s)});
         }
         spread(all, total, weights);
         if (!call) continue;
         std::erase_if(all, [&](const Share& s) {
-            const Server& server = servers_[s.server];
-            return !cold_budget_left(now, server, connections * weight_of(server) / full_weights);
+            Server& server = servers_[s.server];
+            return !permitted(now, server, weight_of(server) / usual_weight_);
         });
     }
     return all;
@@ -396,6 +414,7 @@
 
 void Brain::call_arrived(Instant now, Call call) {
     const CallId id = call.id;
+    fresh_calls_ += !call.again;
     if (call.hinted_load) learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
     Call& kept = calls_[id] = std::move(call);
     run_chain(now, kept);
@@ -430,7 +449,7 @@
     --s.setting_up;
     if (it->second.may_have_run < 0) it->second.may_have_run = n;
     // A server that broke all it held and answers again is a new process, cold, before the list says so.
-    if (s.restarted_unlisted) s.warm_from = now, s.restarted_unlisted = false;
+    if (s.restarted_unlisted) s.warm_from = now, s.restarted_unlisted = false, s.permit.reset();
     s.failures_in_row = 0;
     s.last_kept = now;
     s.skip_until = Instant{};
@@ -542,13 +561,17 @@
 // hardly matters.
 double Brain::ceiling_of(Instant now, const Server& s) const { return bare_ceiling(now, s) + s.rounding; }
 
+double Brain::listed_weight() const {
+    double weights = 0;
+    for (const Server& s : servers_)
+        if (s.listed.condition == Condition::active) weights += weight_of(s);
+    return std::max(weights, 1e-9);
+}
+
 double Brain::full_share(const Server& s) const {
-    double load = 0, weights = 0;
-    for (const Server& other : servers_) {
-        load += load_on(other);
-        if (other.listed.condition == Condition::active) weights += weight_of(other);
-    }
-    return weights > 0 ? load * weight_of(s) / weights : 0;
+    double load = 0;
+    for (const Server& other : servers_) load += load_on(other);
+    return load * weight_of(s) / listed_weight();
 }
 
 // Where servers report the load asked of them over what they can do, a ceiling need not wait for slow
@@ -573,6 +596,9 @@
 
 void Brain::start_term(Instant now) {
     judge_term(now);
+    // A cold server's part of the calls must not grow as others are lost around it, nor stay small for ever
+    // after the fleet has shrunk.
+    usual_weight_ = std::max(listed_weight(), usual_weight_ * weight_kept);
     out_.set_timer(now + shed_grace, term_sheds);
     out_.set_timer(Instant{(now.ns / term_time.ns + 1) * term_time.ns}, term_begins);
 }
@@ -694,6 +720,7 @@
         ask_pause_ = first_ask_pause;
     }
     for (const Listed& entry : entries) apply_listed(now, entry);
+    usual_weight_ = std::max(usual_weight_, listed_weight());
     if (kind == ListKind::partial) return;
     for (Server& s : servers_) {
         const bool named = std::any_of(entries.begin(), entries.end(),
@@ -726,6 +753,7 @@
     s.skip_until = s.out_until = Instant{};
     s.excess.fill(0);
     s.ceiling = -1;
+    s.permit.reset();
     s.restarted_unlisted = false;
     const std::vector<CallId> old = s.standing;
     for (const CallId id : old) {
--- a/src/brain.h
+++ b/src/brain.h
@@ -41,7 +41,8 @@
     int tenants = 0;
     int max_legs = 1;
     bool ask_list = false, pass_mode = false, groups = false, advises = false;
-    Span park, max_advice, step, cold_time;
+    Span park, max_advice, step, cold_time, fall_time;
+    double cold_share = 0, fall_multiple = 1;
 };
 
 struct Listed {
@@ -101,8 +102,9 @@
     double distrust = 0;
     Instant distrust_at;
     int failures_in_row = 0;
-    Instant skip_until, out_until, slow_at, last_sent, last_kept;
-    double delay = 0;     // seconds that a message was last told to take here
+    Instant skip_until, out_until, slow_at, last_kept;
+    std::optional<Instant> permit;  // from when on a cold server may get this balancer's next leg
+    double delay = 0;               // seconds that a message was last told to take here
     double ceiling = -1;  // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
     double rounding = 0;  // of the ceiling, by chance
@@ -177,11 +179,13 @@
     double bare_ceiling(Instant, const Server&) const;
     double ceiling_of(Instant, const Server&) const;
     double full_share(const Server&) const;
+    double listed_weight() const;
     double trust(Instant, const Server&) const;
     double ramp(Instant, const Server&) const;
     bool cold(Instant, const Server&) const;
     bool usable(Instant, const Server&) const;
-    bool cold_budget_left(Instant, const Server&, double share) const;
+    bool permitted(Instant, Server&, double part);
+    Instant next_permit(Instant from, const Server&, double part, bool first);
     double usual_load() const;
     void learn(int type, double micros);
     double load_of(const Call&) const;
@@ -226,8 +230,10 @@
     std::deque<std::pair<std::string, Instant>> key_age_;
     Span shortest_message_;
     bool asked_ = false, watching_ = false, hold_timer_ = false;
-    Instant asked_at_;
+    Instant asked_at_, born_;
     Span ask_pause_;
+    double usual_weight_ = 1e-9;  // of all that is listed, falling slowly
+    int fresh_calls_ = 0;         // that no break or move has brought
 };
 
 }  // namespace headrouter
