--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,8 +15,9 @@
 constexpr Span balance_time = seconds(6), pause_time = seconds(4), shed_grace = seconds(0.5);
 constexpr Span term_time = balance_time + pause_time;
 constexpr int terms_kept = 6;
-// Design 2 and 5 speak of 50 and 10 clients; one balancer here holds a handful on each server.
-constexpr double saturation_band = 1.05, saturation_floor = 2;
+// Design 2 and 5. Ten clients a term would empty a server of which one balancer holds a handful. The floor is
+// against groups: a few of one together are an excess wherever the share is under one connection.
+constexpr double saturation_band = 1.05, saturation_floor = 10;
 constexpr int least_shed = 1;
 // Design 7.
 constexpr int judged_from = 20, terms_out = 3;
