Placing where shares are under one connection: draws from the own number, homes by a doubtful part

Cause: with a share of a tenth no server stays below share with a connection counted, so every call of every balancer went to the server of the largest weight, and homes were never used. Now an exponential draw from a hash of the balancer's number and the server's stands for the connection, homes are sized by the group's part of the own connections, doubted while few are known, and within a home the own number picks.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,7 +36,9 @@
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 constexpr double group_work = 4;
-constexpr double group_slack = 1.25, group_spread = 1.3;
+constexpr double group_slack = 1.25, group_room = 2, group_spread = 1.3;
+// Connections that a balancer sees before it believes what part of all belongs to a group.
+constexpr double group_doubt = 14;
 // Rule 4: the part of what pushes a cold server over that all balancers together send it, and the time by
 // which a rate of calls is counted late, so that the first seconds of a balancer do not overstate it.
 constexpr double cold_part = 0.5, weight_kept = 0.9;
@@ -119,7 +121,8 @@
     // share.
     std::vector<int> holding, at_home, below;
     const bool back_in_pause = note && !note->parked && in_pause(now);
-    const double load = load_of(call), slack = draw_name_of(call).empty() ? 1 : group_slack;
+    const double load = load_of(call);
+    const bool grouped = !draw_name_of(call).empty();
     const Share* least = nullptr;
     double least_over = 0;
     const int home = home_of(call, all);
@@ -131,11 +134,15 @@
             slow_at_home += k < home;
             continue;
         }
-        if (back_in_pause ? s.server != note->server : s.load + load <= s.share * slack) {
-            const bool holds = !call.group.empty() && servers_[s.server].groups.count(call.group);
+        const Server& server = servers_[s.server];
+        const double draw = grouped ? draws_of(draw_name_of(call))[s.server] * weight_of(server) : server.draw;
+        const double room = grouped ? s.share * group_slack + group_room * std::max(1.0, load) - load
+                                    : s.share - draw * load;
+        if (back_in_pause ? s.server != note->server : s.load <= room) {
+            const bool holds = !call.group.empty() && server.groups.count(call.group);
             (holds ? holding : k < home ? at_home : below).push_back(s.server);
         }
-        const double over = (s.load + load) / std::max(s.share, 1e-9);
+        const double over = (s.load + draw * load) / std::max(s.share, 1e-9);
         if (!least || over < least_over) least = &s, least_over = over;
     }
     if (!least) return Verdict::end;  // every server is slow already: more would serve nobody
@@ -144,7 +151,7 @@
     const bool scatters = holding.empty() && at_home.empty() && slow_at_home > 0;
     if (scatters && slow * slow_fleet > static_cast<int>(all.size())) return Verdict::end;
     const std::vector<int>& from = !holding.empty() ? holding : !at_home.empty() ? at_home : below;
-    call.chosen = from.empty() ? least->server : pick(call, from);
+    call.chosen = from.empty() ? least->server : &from == &at_home ? own_pick(from) : pick(call, from);
     call.spared = false;
     if (back_in_pause)
         for (const Share& s : all)
@@ -164,9 +171,12 @@
     const std::vector<double>& draws = draws_of(call.group);
     std::sort(all.begin(), all.end(),
               [&](const Share& a, const Share& b) { return draws[a.server] < draws[b.server]; });
-    double needed = group_spread * (load_of(call) + members_of(call.group));
+    double total = 0;
+    for (const Share& s : all) total += s.share;
+    double needed = group_spread * (load_of(call) + members_of(call.group)) * total / (total + group_doubt);
     int home = 0;
-    while (home < static_cast<int>(all.size()) && needed > 0) needed -= all[home++].share;
+    for (; home < static_cast<int>(all.size()) && needed > 0; needed -= all[home++].share)
+        if (home > 0 && needed < all[home].share * std::exp(-servers_[all[home].server].draw)) break;
     return home;
 }
 
@@ -363,6 +373,13 @@
     return *std::min_element(from.begin(), from.end(), [&](int a, int b) { return draws[a] < draws[b]; });
 }
 
+// The one that ranks highest in a hash of the balancer's own number and the server's.
+int Brain::own_pick(const std::vector<int>& from) const {
+    return *std::min_element(from.begin(), from.end(), [&](int a, int b) {
+        return servers_[a].draw * weight_of(servers_[b]) < servers_[b].draw * weight_of(servers_[a]);
+    });
+}
+
 // Where packets pass through, a key draws like a group, so that another balancer sends them to the same
 // server.
 const std::string& Brain::draw_name_of(const Call& call) const {
@@ -736,6 +753,7 @@
         servers_.emplace_back();
         servers_.back().listed = entry;
         servers_.back().untold.resize(told_.types.size());
+        servers_.back().draw = -std::log(Pcg32(told_.slot, hash_of(entry.server)).uniform());
         if (entry.launched) servers_.back().warm_from = entry.launched;
         return;
     }
--- a/src/brain.h
+++ b/src/brain.h
@@ -40,6 +40,7 @@
     std::vector<TrafficType> types;
     int tenants = 0;
     int max_legs = 1;
+    uint64_t slot = 0;  // this balancer's own number
     bool ask_list = false, pass_mode = false, groups = false, advises = false;
     Span park, max_advice, step, cold_time, fall_time;
     double cold_share = 0, fall_multiple = 1;
@@ -108,6 +109,7 @@
     double ceiling = -1;  // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
     double rounding = 0;  // of the ceiling, by chance
+    double draw = 1;      // exponential, mean 1, from a hash of the balancer's own number and the server
     int sent_in_term = 0, lost_in_term = 0;
     std::array<double, 6> excess{};
     double to_shed = 0;  // in usual connections
@@ -201,6 +203,7 @@
     const std::string& draw_name_of(const Call&) const;
     const std::vector<double>& draws_of(const std::string& group);
     int pick(const Call&, const std::vector<int>&);
+    int own_pick(const std::vector<int>&) const;
     bool in_pause(Instant) const;
     void start_term(Instant);
     void plan_shedding(Instant);
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -184,6 +184,7 @@
     }
     if (find(o, "realms")) d.tenants = static_cast<int>(array(o, "realms").Size());
     d.max_legs = small(ceilings, "maxLegs");
+    d.slot = static_cast<uint64_t>(small_or_zero(o, "slotNo"));
     d.advises = flag_or(ceilings, "retryAfter", false);
     d.max_advice = span_or_zero(ceilings, "maxRetryAfterNs");
     d.ask_list = one_of<bool>(o, "discovery", {{"push", false}, {"ask", true}});
