--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -174,7 +174,6 @@
     double total = 0;
     for (const Share& s : all) total += s.share;
     double needed = group_spread * (load_of(call) + members_of(call.group)) * total / (total + group_doubt);
-    if (call.again) needed /= chance_.uniform();
     int home = 0;
     for (; home < static_cast<int>(all.size()) && needed > 0; needed -= all[home++].share)
         if (home > 0 && needed < all[home].share * std::exp(-servers_[all[home].server].draw)) break;
