--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,7 +38,7 @@
 constexpr double group_work = 4;
 constexpr double group_slack = 1.25, group_room = 2, group_spread = 1.3;
 // Connections that a balancer sees before it believes what part of all belongs to a group.
-constexpr double group_doubt = 120;
+constexpr double group_doubt = 40;
 // Rule 4: the part of what pushes a cold server over that all balancers together send it, and the time by
 // which a rate of calls is counted late, so that the first seconds of a balancer do not overstate it.
 constexpr double cold_part = 0.5, weight_kept = 0.9;
