What a slow note sheds is rounded to whole connections once, by chance

Cause: each note drew the rounding anew against a ceiling kept from the note before, so whoever had kept its one connection shed it on a later note although the delay was falling already; growth was that of a whole connection where the share is a tenth. Now the moves of a note are rounded by chance, the ceiling is what is left after them and grows with the share.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -551,18 +551,15 @@
     s.delay = delay;
     const double load = load_on(s), asked = std::clamp(1 + slope, 0.5, 2.5);
     const double wanted = std::max(least_use, good_use - delay / backlog_time);
-    double ceiling = bare_ceiling(now, s);
-    if (delay < in_seconds(shortest_message_) * slow_from) {
-        ceiling = std::min(ceiling, load);
-    } else {
-        ceiling = std::min(ceiling, load * std::min(1.0, wanted / asked));
+    double ceiling = load;
+    if (delay >= in_seconds(shortest_message_) * slow_from) {
+        const double n = std::max(1.0, static_cast<double>(s.standing.size()));
+        const double moves = std::floor(n * (1 - std::min(1.0, wanted / asked)) + chance_.uniform());
+        ceiling -= load * moves / n;
         s.rounding = chance_.uniform() / std::max(1.0, std::pow(full_share(s), 2));
-        const double excess = load - ceiling - s.rounding;
-        const double each = load / std::max<double>(1, static_cast<double>(s.standing.size()));
-        const int server = index_.at(id);
-        if (excess > 0)
-            start_shedding(now, server, excess, static_cast<int>(std::ceil(excess / each)), seconds(0.8));
+        if (moves > 0) start_shedding(now, index_.at(id), load - ceiling, static_cast<int>(moves), seconds(0.8));
     }
+    ceiling = std::min(bare_ceiling(now, s), ceiling);
     s.ceiling = ceiling;
     s.ceiling_at = now;
 }
@@ -571,7 +568,7 @@
 double Brain::bare_ceiling(Instant now, const Server& s) const {
     if (s.ceiling < 0) return unbounded;
     const double t = in_seconds(now - s.ceiling_at);
-    return t > ceiling_life ? unbounded : s.ceiling + t * ceiling_growth * std::max(1.0, full_share(s));
+    return t > ceiling_life ? unbounded : s.ceiling + t * ceiling_growth * full_share(s);
 }
 
 // Many balancers hold a connection or none each on a server: rounded by chance, their whole connections add
