A cold server's budget is the load of a balancer's own warming share

Now what was sent since the start stays under 1.25 of the warming share; under one connection the first one is let through by chance.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,10 +39,9 @@
 constexpr double group_slack = 1.25, group_room = 2, group_spread = 1.3;
 // Connections that a balancer sees before it believes what part of all belongs to a group.
 constexpr double group_doubt = 40;
-// Rule 4: the part of what pushes a cold server over that all balancers together send it, and the time by
-// which a rate of calls is counted late, so that the first seconds of a balancer do not overstate it.
-constexpr double cold_part = 0.5, weight_kept = 0.9;
-constexpr Span rate_known = seconds(4);
+// Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
+// counts in the shares for that after a term.
+constexpr double cold_part = 1.25, weight_kept = 0.9;
 constexpr int slow_fleet = 3;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -73,7 +72,6 @@
       chance_(seed),
       type_load_(told_.types.size()),
       type_seen_(told_.types.size()),
-      born_(now),
       ask_pause_(first_ask_pause) {
     shortest_message_ = seconds(1000);
     for (const TrafficType& t : told_.types)
@@ -189,7 +187,7 @@
     call.legs.push_back(Leg{call.chosen, now, true, false});
     ++s.setting_up;
     ++s.sent_in_term;
-    if (s.permit) s.permit = next_permit(*s.permit, s, weight_of(s) / usual_weight_, false);
+    if (cold(now, s)) s.cold_sent += load_of(call);
     count(s, call);
     out_.send_leg(call.id, s.listed.server, patience);
     return Verdict::pass_on;
@@ -288,26 +286,14 @@
     return s.failures_in_row == 0 || s.setting_up == 0;  // a failing server is tried by one leg at a time
 }
 
-// Rule 4: what the fleet is usually asked, in the server's part by weight, keeps a warm server busy at most;
-// every balancer keeps to its own fresh calls' rate in that part, times what the rule leaves room for, times
-// how warm the server is. Where that is far below one leg in the warm-up, the moments are drawn by chance, so
-// that hundreds of balancers that hear of the server at once come one by one and most of them not at all.
-bool Brain::permitted(Instant now, Server& s, double part) {
+// Rule 4: what falls is a server that is sent several times the load that it can carry while cold, so every
+// balancer keeps what it has sent there since the start, ended or not, under its own share of the server as it
+// warms. Where that is far below one connection, the first one is let through by chance: hundreds of balancers
+// that hear of the server at once add up to its share, and most of them send nothing.
+bool Brain::cold_budget_left(Instant now, const Server& s, double load, double total) const {
     if (!cold(now, s)) return true;
-    if (!s.permit) s.permit = next_permit(now, s, part, true);
-    while (*s.permit + told_.fall_time < now) s.permit = next_permit(*s.permit, s, part, false);
-    return *s.permit <= now;
-}
-
-Instant Brain::next_permit(Instant from, const Server& s, double part, bool first) {
-    const double rate = (fresh_calls_ + 1) / in_seconds(from - born_ + rate_known);
-    const double most = std::max(rate * part * told_.fall_multiple * cold_part, 1e-3);
-    Instant at = from;
-    for (bool drawn = false; !drawn && cold(at, s); first = false) {
-        at = at + seconds((first ? chance_.uniform() : 0.5 + chance_.uniform()) / most);
-        drawn = chance_.uniform() < std::max(told_.cold_share, ramp(at, s));
-    }
-    return at;
+    const double budget = total * weight_of(s) / usual_weight_ * ramp(now, s) * cold_part;
+    return s.cold_sent + load * (1 - s.cold_chance) <= budget;
 }
 
 bool Brain::in_scope(const Call& call, const Server& s) const {
@@ -337,8 +323,7 @@
         spread(all, total, weights);
         if (!call) continue;
         std::erase_if(all, [&](const Share& s) {
-            Server& server = servers_[s.server];
-            return !permitted(now, server, weight_of(server) / usual_weight_);
+            return !cold_budget_left(now, servers_[s.server], load_of(*call), total);
         });
     }
     return all;
@@ -432,7 +417,6 @@
 
 void Brain::call_arrived(Instant now, Call call) {
     const CallId id = call.id;
-    fresh_calls_ += !call.again;
     if (call.hinted_load) learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
     Call& kept = calls_[id] = std::move(call);
     run_chain(now, kept);
@@ -467,7 +451,7 @@
     --s.setting_up;
     if (it->second.may_have_run < 0) it->second.may_have_run = n;
     // A server that broke all it held and answers again is a new process, cold, before the list says so.
-    if (s.restarted_unlisted) s.warm_from = now, s.restarted_unlisted = false, s.permit.reset();
+    if (s.restarted_unlisted) begin_warm_up(now, s);
     s.failures_in_row = 0;
     s.last_kept = now;
     s.skip_until = Instant{};
@@ -751,17 +735,24 @@
         servers_.back().listed = entry;
         servers_.back().untold.resize(told_.types.size());
         servers_.back().draw = -std::log(Pcg32(told_.slot, hash_of(entry.server)).uniform());
-        if (entry.launched) servers_.back().warm_from = entry.launched;
+        if (entry.launched) begin_warm_up(*entry.launched, servers_.back());
         return;
     }
     Server& s = servers_[it->second];
     const bool restarted = entry.launched && (!s.listed.launched || *entry.launched > *s.listed.launched);
     s.listed = entry;
     if (!restarted) return;
-    s.warm_from = entry.launched;
+    begin_warm_up(*entry.launched, s);
     begin_anew(now, s);
 }
 
+void Brain::begin_warm_up(Instant from, Server& s) {
+    s.warm_from = from;
+    s.restarted_unlisted = false;
+    s.cold_sent = 0;
+    s.cold_chance = chance_.uniform();
+}
+
 // A new process under an old id holds nothing of the old one's connections.
 void Brain::begin_anew(Instant now, Server& s) {
     s.distrust = 0;
@@ -769,8 +760,6 @@
     s.skip_until = s.out_until = Instant{};
     s.excess.fill(0);
     s.ceiling = -1;
-    s.permit.reset();
-    s.restarted_unlisted = false;
     const std::vector<CallId> old = s.standing;
     for (const CallId id : old) {
         Call& call = calls_.at(id);
--- a/src/brain.h
+++ b/src/brain.h
@@ -42,8 +42,7 @@
     int max_legs = 1;
     uint64_t slot = 0;  // this balancer's own number
     bool ask_list = false, pass_mode = false, groups = false, advises = false;
-    Span park, max_advice, step, cold_time, fall_time;
-    double cold_share = 0, fall_multiple = 1;
+    Span park, max_advice, step, cold_time;
 };
 
 struct Listed {
@@ -104,7 +103,8 @@
     Instant distrust_at;
     int failures_in_row = 0;
     Instant skip_until, out_until, slow_at, last_kept;
-    std::optional<Instant> permit;  // from when on a cold server may get this balancer's next leg
+    double cold_sent = 0;    // load sent since a cold start
+    double cold_chance = 0;  // of its first connection
     double delay = 0;               // seconds that a message was last told to take here
     double ceiling = -1;  // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
@@ -186,8 +186,8 @@
     double ramp(Instant, const Server&) const;
     bool cold(Instant, const Server&) const;
     bool usable(Instant, const Server&) const;
-    bool permitted(Instant, Server&, double part);
-    Instant next_permit(Instant from, const Server&, double part, bool first);
+    bool cold_budget_left(Instant, const Server&, double load, double total) const;
+    void begin_warm_up(Instant from, Server&);
     double usual_load() const;
     void learn(int type, double micros);
     double load_of(const Call&) const;
@@ -233,10 +233,9 @@
     std::deque<std::pair<std::string, Instant>> key_age_;
     Span shortest_message_;
     bool asked_ = false, watching_ = false, hold_timer_ = false;
-    Instant asked_at_, born_;
+    Instant asked_at_;
     Span ask_pause_;
     double usual_weight_ = 1e-9;  // of all that is listed, falling slowly
-    int fresh_calls_ = 0;         // that no break or move has brought
 };
 
 }  // namespace headrouter
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -193,9 +193,6 @@
     d.park = span_or_zero(domain, "parkNs");
     d.step = span_or_zero(o, "stepNs");
     d.cold_time = span(rules, "coldNs");
-    d.fall_time = span(rules, "fallNs");
-    d.cold_share = real(rules, "coldShare");
-    d.fall_multiple = real(rules, "fallMultiple");
     return d;
 }
 
