--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -41,7 +41,7 @@
 constexpr double group_doubt = 40;
 // Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
 // counts in the shares for that after a term.
-constexpr double cold_part = 1.25, weight_kept = 0.9;
+constexpr double cold_part = 1.6, weight_kept = 0.9;
 constexpr int slow_fleet = 3;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
