No call, note or set-up costs a pass over the fleet

Now loads and weights are kept by event, servers that fail, are cold or have a ceiling are looked at one by one, a group's order is kept.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -24,9 +24,11 @@
 constexpr double kept_share = 0.1;
 // Design 6: the table of keys that failed elsewhere.
 constexpr size_t keys_kept = 2048, draws_kept = 4096;
+constexpr int few_tries = 16;
 constexpr Span key_age_limit = seconds(30);
 // Distrust: points a failure, time in which half of it fades, and the first time-out of a failing server.
-constexpr double points_failed = 1, points_full = 0.5, points_reset = 0.5, points_forgiven = 0.5;
+constexpr double points_failed = 1, points_full = 0.5, points_reset = 0.5, points_forgiven = 0.5,
+                 forgotten = 0.02;
 constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(3);
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
@@ -113,71 +115,113 @@
         call.chosen = note->server;  // the server that still holds it, also while that one drains
         return Verdict::pass_on;
     }
-    std::vector<Share> all = shares(now, &call);
-    if (all.empty()) return Verdict::keep;
-    // By preference: servers that hold the group, as its work is there anyway; its home; any other below
-    // share.
-    std::vector<int> holding, at_home, below;
-    const bool back_in_pause = note && !note->parked && in_pause(now);
+    const Fleet fleet = look(now, &call);
+    if (!fleet.open) return Verdict::keep;
     const double load = load_of(call);
-    const bool grouped = !draw_name_of(call).empty();
-    const Share* least = nullptr;
-    double least_over = 0;
-    const int home = home_of(call, all);
-    int slow = 0, slow_at_home = 0;
-    for (int k = 0; k < static_cast<int>(all.size()); ++k) {
-        const Share& s = all[k];
-        if (s.load + load > s.ceiling) {
-            ++slow;
-            slow_at_home += k < home;
-            continue;
-        }
-        const Server& server = servers_[s.server];
-        const double draw = grouped ? draws_of(draw_name_of(call))[s.server] * weight_of(server) : server.draw;
-        const double room = grouped ? s.share * group_slack + group_room * std::max(1.0, load) - load
-                                    : s.share - draw * load;
-        if (back_in_pause ? s.server != note->server : s.load <= room) {
-            const bool holds = !call.group.empty() && server.groups.count(call.group);
-            (holds ? holding : k < home ? at_home : below).push_back(s.server);
+    const bool back_in_pause = note && !note->parked && in_pause(now);
+    const Room room{now, call, fleet, load, back_in_pause ? note->server : -1};
+    if (draw_name_of(call).empty())
+        place_alone(room, call);
+    else
+        place_with_group(room, call);
+    if (call.chosen < 0) return Verdict::end;
+    call.spared = back_in_pause &&
+                  load_on(servers_[call.chosen]) + load > share_of(fleet, call.chosen) * saturation_band;
+    return Verdict::pass_on;
+}
+
+// Random among the servers below share, else the least over (design 3). A share under one connection is below
+// share for a whole one only by chance: the draw from the balancer's own number and the server's, which keeps
+// the sum over all balancers right and each to the servers that rank highest for it.
+void Brain::place_alone(const Room& room, Call& call) {
+    const int n = static_cast<int>(servers_.size());
+    for (int tries = 0; tries < few_tries; ++tries) {  // against a pass over a large fleet for every call
+        const int k = static_cast<int>(chance_.uniform() * n);
+        if (has_room(room, k, false)) return void(call.chosen = k);
+    }
+    std::vector<int> below;
+    for (int k = 0; k < n; ++k)
+        if (has_room(room, k, false)) below.push_back(k);
+    if (below.empty()) return void(call.chosen = least_over(room, nullptr));
+    call.chosen = below[static_cast<size_t>(chance_.uniform() * static_cast<double>(below.size()))];
+}
+
+// Members of a group share work on the server that holds them, and balancers share nothing, so a group's
+// chance is drawn from its name: every balancer draws the same servers. By preference: servers that hold the
+// group, as its work is there anyway; its home, the first servers of the draw whose shares hold its part of
+// what this balancer has; any other below share.
+void Brain::place_with_group(const Room& room, Call& call) {
+    const Draw& draw = draw_of(draw_name_of(call));
+    const auto held = groups_.find(call.group);
+    int members = 0;
+    call.chosen = -1;
+    if (held != groups_.end())
+        for (const auto& [k, n] : held->second) {
+            members += n;
+            if (has_room(room, k, true) && (call.chosen < 0 || draw.at[k] < draw.at[call.chosen]))
+                call.chosen = k;
         }
-        const double over = (s.load + draw * load) / std::max(s.share, 1e-9);
-        if (!least || over < least_over) least = &s, least_over = over;
+    if (call.chosen >= 0) return;
+    // A balancer that holds few connections cannot tell what part of all belongs to a group.
+    double needed =
+        group_spread * (room.load + members) * room.fleet.total / (room.fleet.total + group_doubt);
+    size_t at = 0;
+    int slow_at_home = 0, in_home = 0;
+    for (; at < draw.order.size() && (needed > 0 || call.group.empty()); ++at) {
+        const int k = draw.order[at];
+        if (!is_open(room, k)) continue;
+        const double share = share_of(room.fleet, k);
+        if (in_home++ > 0 && needed < share * std::exp(-servers_[k].draw)) break;
+        needed -= share;
+        slow_at_home += is_slow(room, k);
+        if (!has_room(room, k, true)) continue;
+        if (call.group.empty()) return void(call.chosen = k);
+        if (call.chosen < 0 || own_rank(k) < own_rank(call.chosen)) call.chosen = k;
     }
-    if (!least) return Verdict::end;  // every server is slow already: more would serve nobody
+    if (call.chosen >= 0) return;
     // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
     // (i14adcf).
-    const bool scatters = holding.empty() && at_home.empty() && slow_at_home > 0;
-    if (scatters && slow * slow_fleet > static_cast<int>(all.size())) return Verdict::end;
-    const std::vector<int>& from = !holding.empty() ? holding : !at_home.empty() ? at_home : below;
-    call.chosen = from.empty() ? least->server : &from == &at_home ? own_pick(from) : pick(call, from);
-    call.spared = false;
-    if (back_in_pause)
-        for (const Share& s : all)
-            if (s.server == call.chosen) call.spared = s.load + load > s.share * saturation_band;
-    return Verdict::pass_on;
+    if (slow_at_home > 0 && room.fleet.slow * slow_fleet > room.fleet.open) return;
+    for (; at < draw.order.size(); ++at)
+        if (has_room(room, draw.order[at], true)) return void(call.chosen = draw.order[at]);
+    call.chosen = least_over(room, &draw);
 }
 
-int Brain::members_of(const std::string& group) const {
-    const auto it = group_members_.find(group);
-    return it == group_members_.end() ? 0 : it->second;
+bool Brain::is_open(const Room& room, int k) const {
+    const Server& s = servers_[k];
+    if (s.unusual >= 0) return room.fleet.unusual[s.unusual].open;
+    return s.listed.condition == Condition::active && k != room.fleet.left_out && in_scope(room.call, s);
 }
 
-// A group's home: the first servers of its draw whose shares hold it. Sorts the shares by draw; returns how
-// many.
-int Brain::home_of(const Call& call, std::vector<Share>& all) {
-    if (call.group.empty()) return 0;
-    const std::vector<double>& draws = draws_of(call.group);
-    std::sort(all.begin(), all.end(),
-              [&](const Share& a, const Share& b) { return draws[a.server] < draws[b.server]; });
-    double total = 0;
-    for (const Share& s : all) total += s.share;
-    double needed = group_spread * (load_of(call) + members_of(call.group)) * total / (total + group_doubt);
-    int home = 0;
-    for (; home < static_cast<int>(all.size()) && needed > 0; needed -= all[home++].share)
-        if (home > 0 && needed < all[home].share * std::exp(-servers_[all[home].server].draw)) break;
-    return home;
+bool Brain::is_slow(const Room& room, int k) const {
+    const Server& s = servers_[k];
+    return s.unusual >= 0 && load_on(s) + room.load > room.fleet.unusual[s.unusual].ceiling;
 }
 
+bool Brain::has_room(const Room& room, int k, bool grouped) const {
+    if (!is_open(room, k) || is_slow(room, k)) return false;
+    if (room.back_from >= 0) return k != room.back_from;
+    const double share = share_of(room.fleet, k), load = load_on(servers_[k]);
+    if (grouped) return load + room.load <= share * group_slack + group_room * std::max(1.0, room.load);
+    return load + servers_[k].draw * room.load <= share;
+}
+
+// Every server slow already: none, as more would serve nobody.
+int Brain::least_over(const Room& room, const Draw* draw) const {
+    int least = -1;
+    double least_over = 0;
+    for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
+        if (!is_open(room, k) || is_slow(room, k)) continue;
+        const Server& s = servers_[k];
+        const double added = draw ? draw->at[k] * weight_of(s) : s.draw;
+        const double over = (load_on(s) + added * room.load) / std::max(share_of(room.fleet, k), 1e-9);
+        if (least < 0 || over < least_over) least = k, least_over = over;
+    }
+    return least;
+}
+
+double Brain::own_rank(int k) const { return servers_[k].draw / weight_of(servers_[k]); }
+
 Brain::Verdict Brain::send(Instant now, Call& call) {
     const Span left = call.guard - now;
     const bool last = static_cast<int>(call.legs.size()) + 1 >= told_.max_legs;
@@ -249,29 +293,27 @@
 
 // ---- shares (design 1) ----
 
-double Brain::usual_load() const {
-    double sum = 0, seen = 0;
-    for (size_t k = 0; k < type_load_.size(); ++k) sum += type_load_[k], seen += type_seen_[k];
-    return seen > 0 ? sum / seen : 1;
-}
+double Brain::usual_load() const { return all_seen_ > 0 ? all_load_ / all_seen_ : 1; }
 
 // Counts do not mirror load where types differ in it: a connection counts by its told load, else by what its
 // type was seen to need, in units of a usual connection.
+double Brain::type_load(size_t type) const {
+    return type_seen_[type] > 0 ? type_load_[type] / type_seen_[type] / usual_load() : 1;
+}
+
 double Brain::load_of(const Call& call) const {
-    const double usual = usual_load();
-    if (call.load >= 0) return call.load / usual;
-    return type_seen_[call.type] > 0 ? type_load_[call.type] / type_seen_[call.type] / usual : 1;
+    return call.load >= 0 ? call.load / usual_load() : type_load(call.type);
 }
 
-double Brain::load_on(const Server& s) const {
-    const double usual = usual_load();
-    double load = s.told_load / usual;
-    for (size_t k = 0; k < s.untold.size(); ++k)
-        if (s.untold[k] > 0)
-            load += s.untold[k] * (type_seen_[k] > 0 ? type_load_[k] / type_seen_[k] / usual : 1);
+double Brain::load_in(const Holding& h) const {
+    double load = h.told_load / usual_load();
+    for (size_t k = 0; k < h.untold.size(); ++k)
+        if (h.untold[k] > 0) load += h.untold[k] * type_load(k);
     return load;
 }
 
+double Brain::load_on(const Server& s) const { return load_in(s.holding); }
+
 double Brain::ramp(Instant now, const Server& s) const {
     if (!s.warm_from || told_.cold_time.ns <= 0) return 1;
     return std::clamp((now - *s.warm_from) / told_.cold_time, 0.0, 1.0);
@@ -287,82 +329,101 @@
 }
 
 // Rule 4: what falls is a server that is sent several times the load that it can carry while cold, so every
-// balancer keeps what it has sent there since the start, ended or not, under its own share of the server as it
-// warms. Where that is far below one connection, the first one is let through by chance: hundreds of balancers
-// that hear of the server at once add up to its share, and most of them send nothing.
+// balancer keeps what it has sent there since the start, ended or not, under its own share of the server as
+// it warms. Where that is far below one connection, the first one is let through by chance: hundreds of
+// balancers that hear of the server at once add up to its share, and most of them send nothing.
 bool Brain::cold_budget_left(Instant now, const Server& s, double load, double total) const {
     if (!cold(now, s)) return true;
     const double budget = total * weight_of(s) / usual_weight_ * ramp(now, s) * cold_part;
     return s.cold_sent + load * (1 - s.cold_chance) <= budget;
 }
 
-bool Brain::in_scope(const Call& call, const Server& s) const {
+Scope Brain::scope_of(const Call& call) const {
     const TrafficType& type = told_.types[call.type];
-    if (call.may_have_run < 0 || type.effect != Effect::referenced || type.scope == Scope::all) return true;
+    return call.may_have_run < 0 || type.effect != Effect::referenced ? Scope::all : type.scope;
+}
+
+bool Brain::in_scope(const Call& call, const Server& s) const {
+    const Scope scope = scope_of(call);
+    if (scope == Scope::all) return true;
     const Listed& first = servers_[call.legs[call.may_have_run].server].listed;
-    return type.scope == Scope::zone ? s.listed.zone == first.zone : s.listed.cell == first.cell;
-}
-
-// The ready servers with what they hold and their share of all, the given call counted in. Where every server
-// fails, the ones skipped stand in for the missing: sane shares rather than none.
-std::vector<Brain::Share> Brain::shares(Instant now, const Call* call) {
-    std::vector<Share> all;
-    for (int round = 0; round < 2 && all.empty(); ++round) {
-        double total = call ? load_of(*call) : 0, weights = 0;
-        for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
-            const Server& s = servers_[k];
-            const double load = load_on(s);
-            total += load;
-            const bool ready = round == 0 ? usable(now, s) : s.listed.condition == Condition::active;
-            if (!ready || (call && !in_scope(*call, s))) continue;
-            if (call && !call->legs.empty() && call->legs.back().server == k && round == 0) continue;
-            const double share = weight_of(s) * ramp(now, s) * trust(now, s);
-            weights += share;
-            all.push_back({k, load, share, ceiling_of(now, s)});
+    return scope == Scope::zone ? s.listed.zone == first.zone : s.listed.cell == first.cell;
+}
+
+// What one decision sees of the fleet. Most servers are usual: their shares follow from sums kept up to date
+// by event, so that no call costs a pass over a large fleet; those that fail, are cold or have a ceiling are
+// looked at one by one. Where no server is open, the ones skipped stand in: sane shares rather than none.
+Brain::Fleet Brain::look(Instant now, const Call* call) {
+    std::erase_if(unusual_, [&](int k) {
+        Server& s = servers_[k];
+        const bool usual = s.failures_in_row == 0 && !cold(now, s) && now >= s.out_until &&
+                           distrust(now, s) < forgotten && bare_ceiling(now, s) >= unbounded;
+        if (usual) s.unusual = -1;
+        return usual;
+    });
+    Fleet f;
+    for (const bool desperate : {false, true}) {
+        f = Fleet{};
+        f.total = load_in(all_) + (call ? load_of(*call) : 0);
+        f.left_out = call && !call->legs.empty() && !desperate ? call->legs.back().server : -1;
+        double weights = listed_weight_;
+        f.open = listed_active_;
+        const auto leave = [&](const Server& s) { weights -= weight_of(s), --f.open; };
+        if (f.left_out >= 0 && servers_[f.left_out].listed.condition == Condition::active)
+            leave(servers_[f.left_out]);
+        if (call && scope_of(*call) != Scope::all)
+            for (int k = 0; k < static_cast<int>(servers_.size()); ++k)
+                if (servers_[k].listed.condition == Condition::active && k != f.left_out &&
+                    !in_scope(*call, servers_[k]))
+                    leave(servers_[k]);
+        for (const int k : unusual_) {
+            Server& s = servers_[k];
+            s.unusual = static_cast<int>(f.unusual.size());
+            const bool counted =
+                s.listed.condition == Condition::active && k != f.left_out && (!call || in_scope(*call, s));
+            const bool ready = counted && (desperate || usable(now, s));
+            if (counted) leave(s);
+            const bool open = ready && (!call || cold_budget_left(now, s, load_of(*call), f.total));
+            const double part = ready ? weight_of(s) * ramp(now, s) * trust(now, s) : 0;
+            f.unusual.push_back({k, load_on(s), part, ceiling_of(now, s), ready, open});
+            weights += part;
+            f.open += open;
         }
-        spread(all, total, weights);
-        if (!call) continue;
-        std::erase_if(all, [&](const Share& s) {
-            return !cold_budget_left(now, servers_[s.server], load_of(*call), total);
-        });
+        spread(f, weights);
+        if (f.open > 0 || !call) break;
     }
-    return all;
+    for (const Share& s : f.unusual) f.slow += s.open && s.load + (call ? load_of(*call) : 0) > s.ceiling;
+    return f;
 }
 
 // Weighted shares, none above its ceiling; what a ceiling keeps off goes to the others by weight.
-void Brain::spread(std::vector<Share>& all, double total, double weights) {
+void Brain::spread(Fleet& f, double weights) {
     std::vector<Share*> open;
-    for (Share& s : all) open.push_back(&s);
-    for (bool capped = true; capped && weights > 1e-9;) {
+    for (Share& s : f.unusual) open.push_back(&s);
+    double total = f.total;
+    for (bool capped = true; capped;) {
         capped = false;
-        const double each = std::max(0.0, total) / weights;
+        f.each = weights > 1e-9 ? std::max(0.0, total) / weights : 0;
         std::erase_if(open, [&](Share* s) {
-            if (s->share * each <= s->ceiling) return false;
+            if (s->share * f.each <= s->ceiling) return false;
             weights -= s->share;
             total -= s->ceiling;
             s->share = s->ceiling;
             return capped = true;
         });
-        if (!capped)
-            for (Share* s : open) s->share *= each;
     }
+    for (Share* s : open) s->share *= f.each;
 }
 
-// Random among the servers below share (design 3). Members of a group share work on the server that holds
-// them, and balancers share nothing, so a group's chance is drawn from its name: every balancer draws the
-// same server.
-int Brain::pick(const Call& call, const std::vector<int>& from) {
-    if (call.group.empty())
-        return from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
-    const std::vector<double>& draws = draws_of(call.group);
-    return *std::min_element(from.begin(), from.end(), [&](int a, int b) { return draws[a] < draws[b]; });
+double Brain::share_of(const Fleet& f, int k) const {
+    const Server& s = servers_[k];
+    return s.unusual >= 0 ? f.unusual[s.unusual].share : f.each * weight_of(s);
 }
 
-// The one that ranks highest in a hash of the balancer's own number and the server's.
-int Brain::own_pick(const std::vector<int>& from) const {
-    return *std::min_element(from.begin(), from.end(), [&](int a, int b) {
-        return servers_[a].draw * weight_of(servers_[b]) < servers_[b].draw * weight_of(servers_[a]);
-    });
+void Brain::note_unusual(Server& s) {
+    if (s.unusual >= 0) return;
+    s.unusual = static_cast<int>(unusual_.size());  // its place in the next look
+    unusual_.push_back(static_cast<int>(&s - servers_.data()));
 }
 
 // Where packets pass through, a key draws like a group, so that another balancer sends them to the same
@@ -371,27 +432,29 @@
     return call.group.empty() && told_.pass_mode ? call.key : call.group;
 }
 
-const std::vector<double>& Brain::draws_of(const std::string& group) {
-    if (draws_.size() >= draws_kept && !draws_.count(group))
-        draws_.clear();  // bounded: made anew when needed
-    std::vector<double>& draws = draws_[group];
-    while (draws.size() < servers_.size()) {
-        const Listed& listed = servers_[draws.size()].listed;
-        const double u = Pcg32(hash_of(group), hash_of(listed.server)).uniform();
-        draws.push_back(-std::log(u) / weight_of(servers_[draws.size()]));
+const Brain::Draw& Brain::draw_of(const std::string& name) {
+    if (draws_.size() >= draws_kept && !draws_.count(name)) draws_.clear();  // bounded: made anew when needed
+    Draw& draw = draws_[name];
+    if (draw.at.size() == servers_.size()) return draw;
+    const uint64_t seed = hash_of(name);
+    while (draw.at.size() < servers_.size()) {
+        const Server& s = servers_[draw.at.size()];
+        const double u = Pcg32(seed, hash_of(s.listed.server)).uniform();
+        draw.order.push_back(static_cast<int>(draw.at.size()));
+        draw.at.push_back(-std::log(u) / weight_of(s));
     }
-    return draws;
+    std::sort(draw.order.begin(), draw.order.end(), [&](int a, int b) { return draw.at[a] < draw.at[b]; });
+    return draw;
 }
 
 void Brain::count(Server& s, Call& call) {
-    if (s.untold.empty()) s.untold.resize(told_.types.size());
     call.slot = static_cast<int>(s.standing.size());
     s.standing.push_back(call.id);
-    if (call.load >= 0)
-        s.told_load += call.load;
-    else
-        s.untold[call.type] += 1;
-    if (!call.group.empty()) ++s.groups[call.group], ++group_members_[call.group];
+    for (Holding* h : {&s.holding, &all_}) {
+        h->untold.resize(told_.types.size());
+        (call.load >= 0 ? h->told_load : h->untold[call.type]) += call.load >= 0 ? call.load : 1;
+    }
+    if (!call.group.empty()) count_group(s, call.group, 1);
     if (call.spared) ++s.spared, s.spared_first = false;
 }
 
@@ -403,16 +466,29 @@
     s.standing.pop_back();
     if (last != call.id) calls_.at(last).slot = call.slot;
     call.slot = -1;
-    if (call.load >= 0)
-        s.told_load -= call.load;
-    else
-        s.untold[call.type] -= 1;
-    if (const auto g = s.groups.find(call.group); g != s.groups.end() && --g->second == 0) s.groups.erase(g);
-    if (const auto g = group_members_.find(call.group); g != group_members_.end() && --g->second == 0)
-        group_members_.erase(g);
+    for (Holding* h : {&s.holding, &all_})
+        (call.load >= 0 ? h->told_load : h->untold[call.type]) -= call.load >= 0 ? call.load : 1;
+    if (!call.group.empty()) count_group(s, call.group, -1);
     if (call.spared) --s.spared;
 }
 
+void Brain::count_group(const Server& s, const std::string& group, int members) {
+    const int k = static_cast<int>(&s - servers_.data());
+    std::vector<std::pair<int, int>>& held = groups_[group];
+    const auto it = std::find_if(held.begin(), held.end(), [&](const auto& h) { return h.first == k; });
+    if (it == held.end())
+        held.emplace_back(k, members);
+    else if ((it->second += members) == 0)
+        held.erase(it);
+    if (held.empty()) groups_.erase(group);
+}
+
+int Brain::members_on(int k, const std::string& group) const {
+    for (const auto& [server, members] : groups_.at(group))
+        if (server == k) return members;
+    return 0;
+}
+
 // ---- calls and legs ----
 
 void Brain::call_arrived(Instant now, Call call) {
@@ -484,20 +560,22 @@
 
 // What a type needs is halved in weight now and then, so that old days do not outvote the present one.
 void Brain::learn(int type, double micros) {
-    if (type_seen_[type] > 400) type_load_[type] /= 2, type_seen_[type] /= 2;
-    type_load_[type] += micros;
-    type_seen_[type] += 1;
+    if (type_seen_[type] > 400) {
+        all_load_ -= type_load_[type] /= 2;
+        all_seen_ -= type_seen_[type] /= 2;
+    }
+    type_load_[type] += micros, all_load_ += micros;
+    type_seen_[type] += 1, all_seen_ += 1;
 }
 
 void Brain::load_told(Instant, CallId id, double micros) {
     const auto it = calls_.find(id);
     if (it == calls_.end() || it->second.slot < 0 || !(micros >= 0)) return;
     Call& call = it->second;
-    Server& s = servers_[call.legs.back().server];
-    if (call.load >= 0)
-        s.told_load += micros - call.load;
-    else
-        s.untold[call.type] -= 1, s.told_load += micros;
+    for (Holding* h : {&servers_[call.legs.back().server].holding, &all_}) {
+        if (call.load < 0) h->untold[call.type] -= 1;
+        h->told_load += micros - std::max(0.0, call.load);
+    }
     call.load = micros;
     learn(call.type, micros);
 }
@@ -509,6 +587,7 @@
 }
 
 void Brain::suspect(Instant now, Server& s, double points) {
+    note_unusual(s);
     s.distrust = std::min(8.0, distrust(now, s) + points);
     s.distrust_at = now;
     s.failures_in_row = std::min(s.failures_in_row + 1, 10);
@@ -541,11 +620,13 @@
         const double moves = std::floor(n * (1 - std::min(1.0, wanted / asked)) + chance_.uniform());
         ceiling -= load * moves / n;
         s.rounding = chance_.uniform() / std::max(1.0, std::pow(full_share(s), 2));
-        if (moves > 0) start_shedding(now, index_.at(id), load - ceiling, static_cast<int>(moves), seconds(0.8));
+        if (moves > 0)
+            start_shedding(now, index_.at(id), load - ceiling, static_cast<int>(moves), seconds(0.8));
     }
     ceiling = std::min(bare_ceiling(now, s), ceiling);
     s.ceiling = ceiling;
     s.ceiling_at = now;
+    note_unusual(s);
 }
 
 // Seconds of fading distrust bring back what the notes took: a share of a usual server's load each second.
@@ -560,17 +641,8 @@
 // hardly matters.
 double Brain::ceiling_of(Instant now, const Server& s) const { return bare_ceiling(now, s) + s.rounding; }
 
-double Brain::listed_weight() const {
-    double weights = 0;
-    for (const Server& s : servers_)
-        if (s.listed.condition == Condition::active) weights += weight_of(s);
-    return std::max(weights, 1e-9);
-}
-
 double Brain::full_share(const Server& s) const {
-    double load = 0;
-    for (const Server& other : servers_) load += load_on(other);
-    return load * weight_of(s) / listed_weight();
+    return load_in(all_) * weight_of(s) / std::max(listed_weight_, 1e-9);
 }
 
 // Where servers report the load asked of them over what they can do, a ceiling need not wait for slow
@@ -582,6 +654,7 @@
     if (x > good_use) {
         s.ceiling = std::min(bare_ceiling(now, s), fits);
         s.ceiling_at = now;
+        note_unusual(s);
     }
 }
 
@@ -597,7 +670,7 @@
     judge_term(now);
     // A cold server's part of the calls must not grow as others are lost around it, nor stay small for ever
     // after the fleet has shrunk.
-    usual_weight_ = std::max(listed_weight(), usual_weight_ * weight_kept);
+    usual_weight_ = std::max(listed_weight_, usual_weight_ * weight_kept);
     out_.set_timer(now + shed_grace, term_sheds);
     out_.set_timer(Instant{(now.ns / term_time.ns + 1) * term_time.ns}, term_begins);
 }
@@ -607,6 +680,7 @@
     for (Server& s : servers_) {
         if (s.sent_in_term >= judged_from && s.sent_in_term - s.lost_in_term < s.sent_in_term * kept_share) {
             s.out_until = now + term_time * terms_out;
+            note_unusual(s);
             left_out = true;
         }
         s.sent_in_term = s.lost_in_term = 0;
@@ -622,15 +696,19 @@
 void Brain::plan_shedding(Instant now) {
     const auto term = static_cast<size_t>(now.ns / term_time.ns % terms_kept);
     for (Server& s : servers_) s.excess[term] = 0;
-    for (const Share& share : shares(now, nullptr)) {
-        Server& s = servers_[share.server];
-        const double excess = share.load - share.share;
-        if (share.load <= share.share * saturation_band) s.spared_first = true;  // balanced: sparing ends
-        if (share.load <= share.share * saturation_band || excess < saturation_floor) continue;
+    const Fleet fleet = look(now, nullptr);
+    for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
+        Server& s = servers_[k];
+        const bool ready =
+            s.unusual >= 0 ? fleet.unusual[s.unusual].ready : s.listed.condition == Condition::active;
+        if (!ready) continue;
+        const double load = load_on(s), share = share_of(fleet, k), excess = load - share;
+        if (load <= share * saturation_band) s.spared_first = true;  // balanced: sparing ends
+        if (load <= share * saturation_band || excess < saturation_floor) continue;
         s.excess[term] = excess;
         const double most = *std::max_element(s.excess.begin(), s.excess.end());
         const int calls = std::max(least_shed, static_cast<int>(std::ceil(most / terms_kept)));
-        start_shedding(now, share.server, std::min<double>(calls, excess), calls, balance_time - shed_grace);
+        start_shedding(now, k, std::min<double>(calls, excess), calls, balance_time - shed_grace);
     }
 }
 
@@ -673,7 +751,8 @@
         // (i14adcf).
         if (call.spared && !slow) continue;
         const double load = load_of(call);
-        const double work = call.group.empty() ? 0 : group_work / s.groups.at(call.group);
+        const double work =
+            call.group.empty() ? 0 : group_work / members_on(call.legs.back().server, call.group);
         const double freed = std::min(load, s.to_shed) + work;  // more than the excess is no gain
         const double rank = call.spared ? freed - group_work * 4 : freed;
         if (!best || rank > most) best = &call, most = rank;
@@ -718,14 +797,15 @@
         watching_ = true;
         ask_pause_ = first_ask_pause;
     }
+    ++lists_;
     for (const Listed& entry : entries) apply_listed(now, entry);
-    usual_weight_ = std::max(usual_weight_, listed_weight());
-    if (kind == ListKind::partial) return;
+    listed_weight_ = 0;
+    listed_active_ = 0;
     for (Server& s : servers_) {
-        const bool named = std::any_of(entries.begin(), entries.end(),
-                                       [&](const Listed& e) { return e.server == s.listed.server; });
-        if (!named) s.listed.condition = Condition::left;
+        if (kind != ListKind::partial && s.named_in != lists_) s.listed.condition = Condition::left;
+        if (s.listed.condition == Condition::active) listed_weight_ += weight_of(s), ++listed_active_;
     }
+    usual_weight_ = std::max(usual_weight_, listed_weight_);
 }
 
 void Brain::apply_listed(Instant now, const Listed& entry) {
@@ -733,7 +813,7 @@
     if (is_new) {
         servers_.emplace_back();
         servers_.back().listed = entry;
-        servers_.back().untold.resize(told_.types.size());
+        servers_.back().named_in = lists_;
         servers_.back().draw = -std::log(Pcg32(told_.slot, hash_of(entry.server)).uniform());
         if (entry.launched) begin_warm_up(*entry.launched, servers_.back());
         return;
@@ -741,6 +821,7 @@
     Server& s = servers_[it->second];
     const bool restarted = entry.launched && (!s.listed.launched || *entry.launched > *s.listed.launched);
     s.listed = entry;
+    s.named_in = lists_;
     if (!restarted) return;
     begin_warm_up(*entry.launched, s);
     begin_anew(now, s);
@@ -751,6 +832,7 @@
     s.restarted_unlisted = false;
     s.cold_sent = 0;
     s.cold_chance = chance_.uniform();
+    note_unusual(s);
 }
 
 // A new process under an old id holds nothing of the old one's connections.
--- a/src/brain.h
+++ b/src/brain.h
@@ -90,14 +90,20 @@
     virtual void watch_list() = 0;
 };
 
+// What stands or is being set up, by load.
+struct Holding {
+    std::vector<double> untold;  // for each traffic type, connections whose load is not told
+    double told_load = 0;        // microseconds a second of the others
+};
+
 struct Server {
     Listed listed;
     bool restarted_unlisted = false;   // seen to come back after a break that the list has not told of yet
     std::optional<Instant> warm_from;  // start of the warm-up, told or seen
     std::vector<CallId> standing;
-    std::vector<double> untold;  // for each traffic type, connections whose load is not told
-    double told_load = 0;        // microseconds a second of the others
-    std::map<std::string, int> groups;
+    Holding holding;
+    int unusual = -1;   // place among those that a decision looks at one by one
+    int named_in = -1;  // the latest list that named it
     int setting_up = 0, spared = 0;
     double distrust = 0;
     Instant distrust_at;
@@ -105,8 +111,8 @@
     Instant skip_until, out_until, slow_at, last_kept;
     double cold_sent = 0;    // load sent since a cold start
     double cold_chance = 0;  // of its first connection
-    double delay = 0;               // seconds that a message was last told to take here
-    double ceiling = -1;  // load above which messages were told to be slow; negative while none were
+    double delay = 0;        // seconds that a message was last told to take here
+    double ceiling = -1;     // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
     double rounding = 0;  // of the ceiling, by chance
     double draw = 1;      // exponential, mean 1, from a hash of the balancer's own number and the server
@@ -152,8 +158,25 @@
     };
     struct Share {
         int server;
-        double load, share;
-        double ceiling;
+        double load, share, ceiling;
+        bool ready, open;  // counted in the shares; may take this call
+    };
+    struct Fleet {
+        double total = 0, each = 0;  // own load, the call counted in; share of a unit of weight
+        int open = 0, slow = 0;      // servers that may take the call; of these at their ceilings
+        int left_out = -1;           // where its last leg failed
+        std::vector<Share> unusual;
+    };
+    struct Room {
+        Instant now;
+        const Call& call;
+        const Fleet& fleet;
+        double load;
+        int back_from;  // the server that failed a key which comes back in the pause
+    };
+    struct Draw {
+        std::vector<double> at;  // for each server, exponential over its weight
+        std::vector<int> order;  // servers by it
     };
     struct KeyNote {
         int server;
@@ -175,13 +198,27 @@
     void give_up(Instant, Call&);
     void forget(CallId);
     void hold(Instant, Call&);
+    Scope scope_of(const Call&) const;
     bool in_scope(const Call&, const Server&) const;
-    std::vector<Share> shares(Instant, const Call*);
-    static void spread(std::vector<Share>&, double total, double weights);
+    void place_alone(const Room&, Call&);
+    void place_with_group(const Room&, Call&);
+    bool is_open(const Room&, int server) const;
+    bool is_slow(const Room&, int server) const;
+    bool has_room(const Room&, int server, bool grouped) const;
+    int least_over(const Room&, const Draw*) const;
+    double own_rank(int server) const;
+    Fleet look(Instant, const Call*);
+    static void spread(Fleet&, double weights);
+    double share_of(const Fleet&, int server) const;
+    void note_unusual(Server&);
+    const Draw& draw_of(const std::string& name);
+    void count_group(const Server&, const std::string& group, int members);
+    int members_on(int server, const std::string& group) const;
+    double type_load(size_t type) const;
+    double load_in(const Holding&) const;
     double bare_ceiling(Instant, const Server&) const;
     double ceiling_of(Instant, const Server&) const;
     double full_share(const Server&) const;
-    double listed_weight() const;
     double trust(Instant, const Server&) const;
     double ramp(Instant, const Server&) const;
     bool cold(Instant, const Server&) const;
@@ -198,12 +235,7 @@
     void count(Server&, Call&);
     void uncount(Call&);
     void move_call(Instant, Call&);
-    int members_of(const std::string& group) const;
-    int home_of(const Call&, std::vector<Share>&);
     const std::string& draw_name_of(const Call&) const;
-    const std::vector<double>& draws_of(const std::string& group);
-    int pick(const Call&, const std::vector<int>&);
-    int own_pick(const std::vector<int>&) const;
     bool in_pause(Instant) const;
     void start_term(Instant);
     void plan_shedding(Instant);
@@ -223,12 +255,17 @@
     Actions& out_;
     Pcg32 chance_;
     std::vector<Server> servers_;
-    std::map<ServerId, int> index_;
+    std::unordered_map<ServerId, int> index_;                                   // looked up only, as all
+    std::unordered_map<std::string, std::vector<std::pair<int, int>>> groups_;  // members on own servers
+    std::unordered_map<std::string, Draw> draws_;                               // that are unordered
+    std::vector<int> unusual_;
+    Holding all_;
+    double listed_weight_ = 0;  // of the active
+    int listed_active_ = 0, lists_ = 0;
     std::unordered_map<CallId, Call> calls_;
     std::deque<CallId> held_;
-    std::unordered_map<std::string, int> group_members_;          // own standing ones
-    std::unordered_map<std::string, std::vector<double>> draws_;  // looked up only, never walked
     std::vector<double> type_load_, type_seen_;
+    double all_load_ = 0, all_seen_ = 0;
     std::map<std::string, KeyNote> keys_;
     std::deque<std::pair<std::string, Instant>> key_age_;
     Span shortest_message_;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -38,11 +38,11 @@
     double distrust(Instant t, const ServerId& id) { return b.distrust(t, server(id)); }
     double ceiling(Instant t, const ServerId& id) { return b.ceiling_of(t, server(id)); }
     double load(const ServerId& id) { return b.load_on(server(id)); }
+    void suspect(Instant t, const ServerId& id) { b.suspect(t, server(id), 1); }
     bool usable(Instant t, const ServerId& id) { return b.usable(t, server(id)); }
     double share(Instant t, const ServerId& id) {
-        for (const auto& s : b.shares(t, nullptr))
-            if (b.servers_[s.server].listed.server == id) return s.share;
-        return 0;
+        const auto fleet = b.look(t, nullptr);
+        return b.share_of(fleet, b.index_.at(id));
     }
     void note_key(Instant t, const Call& c, const ServerId& id) { b.note_key(t, c, b.index_.at(id), false); }
     size_t keys() { return b.keys_.size(); }
--- a/tests/test_legs.cpp
+++ b/tests/test_legs.cpp
@@ -58,7 +58,8 @@
 // When all fail, the skipped are tried again rather than none.
 static const Case every_server_failing_still_gets_calls{[] {
     auto&& [w, b, p] = Rig({listed("a"), listed("b")});
-    for (const ServerId s : {"a", "b"}) p.server(s).skip_until = term_start + seconds(9);
+    for (const ServerId s : {"a", "b"}) p.suspect(term_start, s);
+    for (const ServerId s : {"a", "b"}) assert(!p.usable(term_start, s));
     b.call_arrived(term_start, call(1, term_start));
     assert(w.sent.size() == 1);
 }};
