--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -444,8 +444,6 @@
         draw.at.push_back(-std::log(u) / weight_of(s));
     }
     std::sort(draw.order.begin(), draw.order.end(), [&](int a, int b) { return draw.at[a] < draw.at[b]; });
-    draw.rank.resize(draw.order.size());
-    for (size_t n = 0; n < draw.order.size(); ++n) draw.rank[draw.order[n]] = static_cast<int>(n);
     return draw;
 }
 
@@ -456,13 +454,7 @@
         h->untold.resize(told_.types.size());
         (call.load >= 0 ? h->told_load : h->untold[call.type]) += call.load >= 0 ? call.load : 1;
     }
-    if (!call.group.empty()) {
-        count_group(s, call.group, 1);
-        const Draw& draw = draw_of(call.group);
-        call.far = draw.rank[&s - servers_.data()] * static_cast<int>(far_.size()) /
-                   static_cast<int>(draw.order.size());
-    }
-    ++far_[call.far];
+    if (!call.group.empty()) count_group(s, call.group, 1);
     if (call.spared) ++s.spared, s.spared_first = false;
 }
 
@@ -477,7 +469,6 @@
     for (Holding* h : {&s.holding, &all_})
         (call.load >= 0 ? h->told_load : h->untold[call.type]) -= call.load >= 0 ? call.load : 1;
     if (!call.group.empty()) count_group(s, call.group, -1);
-    --far_[call.far];
     if (call.spared) --s.spared;
 }
 
@@ -626,7 +617,7 @@
     double ceiling = load;
     if (delay >= in_seconds(shortest_message_) * slow_from) {
         const double n = std::max(1.0, static_cast<double>(s.standing.size()));
-        const double moves = std::floor(n * (1 - std::min(1.0, wanted / asked)) + std::pow(farthest(s), n));
+        const double moves = std::floor(n * (1 - std::min(1.0, wanted / asked)) + chance_.uniform());
         ceiling -= load * moves / n;
         s.rounding = chance_.uniform() / std::max(1.0, std::pow(full_share(s), 2));
         if (moves > 0)
@@ -638,16 +629,6 @@
     note_unusual(s);
 }
 
-// How far the farthest of a server's connections is from its group's home, as its rank among all own ones.
-// Chance that is drawn so sends off whole groups, the same at every balancer, and those first whose work the
-// server need not have.
-double Brain::farthest(const Server& s) {
-    int far = 0, below = 0, all = 0;
-    for (const CallId id : s.standing) far = std::max(far, calls_.at(id).far);
-    for (int k = 0; k < static_cast<int>(far_.size()); ++k) below += k < far ? far_[k] : 0, all += far_[k];
-    return all > 0 ? (below + chance_.uniform() * far_[far]) / all : 1;
-}
-
 // Seconds of fading distrust bring back what the notes took: a share of a usual server's load each second.
 double Brain::bare_ceiling(Instant now, const Server& s) const {
     if (s.ceiling < 0) return unbounded;
--- a/src/brain.h
+++ b/src/brain.h
@@ -70,7 +70,6 @@
     std::vector<Leg> legs;
     int may_have_run = -1;  // the first leg of which it is not known that it never ran
     int chosen = -1;        // the server that the chain has settled on for the next leg
-    int far = 0;            // part of the servers that its group draws before its own, in tenths
     int slot = -1;          // place among its server's standing connections
     double load = -1;       // told load in microseconds a second; negative until told
     bool spared = false, held = false, moved = false;
@@ -178,7 +177,6 @@
     struct Draw {
         std::vector<double> at;  // for each server, exponential over its weight
         std::vector<int> order;  // servers by it
-        std::vector<int> rank;   // for each server, its place in that order
     };
     struct KeyNote {
         int server;
@@ -217,7 +215,6 @@
     void count_group(const Server&, const std::string& group, int members);
     int members_on(int server, const std::string& group) const;
     double type_load(size_t type) const;
-    double farthest(const Server&);
     double load_in(const Holding&) const;
     double bare_ceiling(Instant, const Server&) const;
     double ceiling_of(Instant, const Server&) const;
@@ -263,8 +260,7 @@
     std::unordered_map<std::string, Draw> draws_;                               // that are unordered
     std::vector<int> unusual_;
     Holding all_;
-    std::array<int, 10> far_{};  // own connections by how far they are from their groups' homes
-    double listed_weight_ = 0;   // of the active
+    double listed_weight_ = 0;  // of the active
     int listed_active_ = 0, lists_ = 0;
     std::unordered_map<CallId, Call> calls_;
     std::deque<CallId> held_;
