--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -617,9 +617,7 @@
     double ceiling = load;
     if (delay >= in_seconds(shortest_message_) * slow_from) {
         const double n = std::max(1.0, static_cast<double>(s.standing.size()));
-        const std::string* group = s.standing.empty() ? nullptr : &calls_.at(s.standing[0]).group;
-        const double u = group && !group->empty() ? Pcg32(hash_of(*group) + static_cast<uint64_t>(now.ns / 1000000000), hash_of(id)).uniform() : chance_.uniform();
-        const double moves = std::floor(n * (1 - std::min(1.0, wanted / asked)) + u);
+        const double moves = std::floor(n * (1 - std::min(1.0, wanted / asked)) + chance_.uniform());
         ceiling -= load * moves / n;
         s.rounding = chance_.uniform() / std::max(1.0, std::pow(full_share(s), 2));
         if (moves > 0)
