--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,8 +39,8 @@
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 constexpr double group_work = 4;
 constexpr double group_slack = 1.25, group_room = 2, group_spread = 1.3;
-// Connections that a balancer sees before it believes what part of all belongs to a group.
-constexpr double group_doubt = 40;
+// Pairs of connections that a balancer sees before it believes how often two are in one group.
+constexpr double pairs_believed = 40;
 // Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
 // counts in the shares for that after a term.
 constexpr double cold_part = 1.6, weight_kept = 0.9;
@@ -164,7 +164,7 @@
     if (call.chosen >= 0) return;
     // A balancer that holds few connections cannot tell what part of all belongs to a group.
     double needed =
-        group_spread * (room.load + members) * room.fleet.total / (room.fleet.total + group_doubt);
+        group_spread * (room.load + members) * room.fleet.total / (room.fleet.total + group_doubt());
     size_t at = 0;
     int slow_at_home = 0, in_home = 0;
     for (; at < draw.order.size() && (needed > 0 || call.group.empty()); ++at) {
@@ -187,6 +187,13 @@
     call.chosen = least_over(room, &draw);
 }
 
+// A balancer that holds few connections sees one of a group, whether the group is a tenth of all or a
+// thousandth. How often two of its own belong together tells how large groups are (Ewens); where it does not,
+// the groups are small, and homes with them.
+double Brain::group_doubt() const {
+    return (standing_ * (standing_ - 1) / 2 + pairs_believed) / (pairs_ + 1);
+}
+
 bool Brain::is_open(const Room& room, int k) const {
     const Server& s = servers_[k];
     if (s.unusual >= 0) return room.fleet.unusual[s.unusual].open;
@@ -475,6 +482,10 @@
 void Brain::count_group(const Server& s, const std::string& group, int members) {
     const int k = static_cast<int>(&s - servers_.data());
     std::vector<std::pair<int, int>>& held = groups_[group];
+    int others = std::min(members, 0);
+    for (const auto& h : held) others += h.second;
+    pairs_ += members * others;
+    standing_ += members;
     const auto it = std::find_if(held.begin(), held.end(), [&](const auto& h) { return h.first == k; });
     if (it == held.end())
         held.emplace_back(k, members);
--- a/src/brain.h
+++ b/src/brain.h
@@ -207,6 +207,7 @@
     bool has_room(const Room&, int server, bool grouped) const;
     int least_over(const Room&, const Draw*) const;
     double own_rank(int server) const;
+    double group_doubt() const;
     Fleet look(Instant, const Call*);
     static void spread(Fleet&, double weights);
     double share_of(const Fleet&, int server) const;
@@ -260,7 +261,8 @@
     std::unordered_map<std::string, Draw> draws_;                               // that are unordered
     std::vector<int> unusual_;
     Holding all_;
-    double listed_weight_ = 0;  // of the active
+    double standing_ = 0, pairs_ = 0;  // own connections; pairs of them in one group
+    double listed_weight_ = 0;         // of the active
     int listed_active_ = 0, lists_ = 0;
     std::unordered_map<CallId, Call> calls_;
     std::deque<CallId> held_;
