--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,6 +44,7 @@
 // Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
 // counts in the shares for that after a term.
 constexpr double cold_part = 1.6, weight_kept = 0.9;
+constexpr double heard_least = 1;
 constexpr int slow_fleet = 3;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -173,15 +174,16 @@
         const double share = share_of(room.fleet, k);
         if (in_home++ > 0 && needed < share * std::exp(-servers_[k].draw)) break;
         needed -= share;
-        slow_at_home += is_slow(room, k);
-        if (!has_room(room, k, true)) continue;
+        const bool slow = seems_slow(room, k);
+        slow_at_home += slow;
+        if (slow || !has_room(room, k, true)) continue;
         if (call.group.empty()) return void(call.chosen = k);
         if (call.chosen < 0 || own_rank(k) < own_rank(call.chosen)) call.chosen = k;
     }
     if (call.chosen >= 0) return;
     // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
     // (i14adcf).
-    if (slow_at_home > 0 && room.fleet.slow * slow_fleet > room.fleet.open) return;
+    if (slow_at_home > 0 && room.fleet.slow_part * slow_fleet > 1) return;
     for (; at < draw.order.size(); ++at)
         if (has_room(room, draw.order[at], true)) return void(call.chosen = draw.order[at]);
     call.chosen = least_over(room, &draw);
@@ -205,6 +207,15 @@
     return s.unusual >= 0 && load_on(s) + room.load > room.fleet.unusual[s.unusual].ceiling;
 }
 
+// A server of which this balancer holds nothing tells it nothing. It is as likely slow as those that it hears
+// of: otherwise, with hundreds of balancers, whatever one sheds another brings back (i61ff1f).
+bool Brain::seems_slow(const Room& room, int k) {
+    const Server& s = servers_[k];
+    if (!s.standing.empty() || (s.unusual >= 0 && room.fleet.unusual[s.unusual].ceiling < unbounded))
+        return is_slow(room, k);
+    return room.fleet.slow_part * slow_fleet > 1 && chance_.uniform() < room.fleet.slow_part;
+}
+
 bool Brain::has_room(const Room& room, int k, bool grouped) const {
     if (!is_open(room, k) || is_slow(room, k)) return false;
     if (room.back_from >= 0) return k != room.back_from;
@@ -399,7 +410,12 @@
         spread(f, weights);
         if (f.open > 0 || !call) break;
     }
-    for (const Share& s : f.unusual) f.slow += s.open && s.load + (call ? load_of(*call) : 0) > s.ceiling;
+    double heard = used_ + heard_least;
+    for (const Share& s : f.unusual) {
+        f.slow += s.open && s.load + (call ? load_of(*call) : 0) > s.ceiling;
+        heard += s.ceiling < unbounded && servers_[s.server].standing.empty();
+    }
+    f.slow_part = f.slow / heard;
     return f;
 }
 
@@ -456,6 +472,7 @@
 
 void Brain::count(Server& s, Call& call) {
     call.slot = static_cast<int>(s.standing.size());
+    used_ += s.standing.empty();
     s.standing.push_back(call.id);
     for (Holding* h : {&s.holding, &all_}) {
         h->untold.resize(told_.types.size());
@@ -471,6 +488,7 @@
     const CallId last = s.standing.back();
     s.standing[call.slot] = last;
     s.standing.pop_back();
+    used_ -= s.standing.empty();
     if (last != call.id) calls_.at(last).slot = call.slot;
     call.slot = -1;
     for (Holding* h : {&s.holding, &all_})
--- a/src/brain.h
+++ b/src/brain.h
@@ -165,6 +165,7 @@
         double total = 0, each = 0;  // own load, the call counted in; share of a unit of weight
         int open = 0, slow = 0;      // servers that may take the call; of these at their ceilings
         int left_out = -1;           // where its last leg failed
+        double slow_part = 0;        // of the servers whose messages this balancer hears of
         std::vector<Share> unusual;
     };
     struct Room {
@@ -204,6 +205,7 @@
     void place_with_group(const Room&, Call&);
     bool is_open(const Room&, int server) const;
     bool is_slow(const Room&, int server) const;
+    bool seems_slow(const Room&, int server);
     bool has_room(const Room&, int server, bool grouped) const;
     int least_over(const Room&, const Draw*) const;
     double own_rank(int server) const;
@@ -263,7 +265,7 @@
     Holding all_;
     double standing_ = 0, pairs_ = 0;  // own connections; pairs of them in one group
     double listed_weight_ = 0;         // of the active
-    int listed_active_ = 0, lists_ = 0;
+    int listed_active_ = 0, lists_ = 0, used_ = 0;
     std::unordered_map<CallId, Call> calls_;
     std::deque<CallId> held_;
     std::vector<double> type_load_, type_seen_;
