--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -629,6 +629,10 @@
     s.resets = now - s.reset_at < crash_window ? s.resets + 1 : 1;
     s.reset_at = now;
     suspect(now, s, points_reset);
+    // A server that is asked too much drops its newest connections; whoever held only those would hear no more
+    // of it and send them there again.
+    s.ceiling = std::min(bare_ceiling(now, s), load_on(s));
+    s.ceiling_at = now;
     if (s.resets >= 2 && s.resets >= static_cast<int>(s.standing.size())) s.restarted_unlisted = true;
 }
 
@@ -859,6 +863,7 @@
 void Brain::begin_warm_up(Instant from, Server& s) {
     s.warm_from = from;
     s.restarted_unlisted = false;
+    s.ceiling = -1;
     s.cold_sent = 0;
     s.cold_chance = chance_.uniform();
     note_unusual(s);
