--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -202,15 +202,9 @@
     return s.listed.condition == Condition::active && k != room.fleet.left_out && in_scope(room.call, s);
 }
 
-// Many balancers hold a connection or none each on a server: what grows back is rounded by chance, so that
-// their whole connections add up to what it can do (ief3d44). With many connections it hardly matters.
-bool Brain::over_ceiling(const Share& s, double load) const {
-    return s.load + load * (1 - servers_[s.server].rounding) > s.ceiling;
-}
-
 bool Brain::is_slow(const Room& room, int k) const {
     const Server& s = servers_[k];
-    return s.unusual >= 0 && over_ceiling(room.fleet.unusual[s.unusual], room.load);
+    return s.unusual >= 0 && load_on(s) + room.load > room.fleet.unusual[s.unusual].ceiling;
 }
 
 // A server of which this balancer holds nothing tells it nothing. It is as likely slow as those that it hears
@@ -381,7 +375,7 @@
     std::erase_if(unusual_, [&](int k) {
         Server& s = servers_[k];
         const bool usual = s.failures_in_row == 0 && !cold(now, s) && now >= s.out_until &&
-                           distrust(now, s) < forgotten && ceiling_of(now, s) >= unbounded;
+                           distrust(now, s) < forgotten && bare_ceiling(now, s) >= unbounded;
         if (usual) s.unusual = -1;
         return usual;
     });
@@ -418,7 +412,7 @@
     }
     double heard = used_ + heard_least;
     for (const Share& s : f.unusual) {
-        f.slow += s.open && over_ceiling(s, call ? load_of(*call) : 0);
+        f.slow += s.open && s.load + (call ? load_of(*call) : 0) > s.ceiling;
         heard += s.ceiling < unbounded && servers_[s.server].standing.empty();
     }
     f.slow_part = f.slow / heard;
@@ -637,7 +631,7 @@
     suspect(now, s, points_reset);
     // A server that is asked too much drops its newest connections; whoever held only those would hear no more
     // of it and send them there again.
-    s.ceiling = std::min(ceiling_of(now, s), load_on(s));
+    s.ceiling = std::min(bare_ceiling(now, s), load_on(s));
     s.ceiling_at = now;
     if (s.resets >= 2 && s.resets >= static_cast<int>(s.standing.size())) s.restarted_unlisted = true;
 }
@@ -662,19 +656,24 @@
         if (moves > 0)
             start_shedding(now, index_.at(id), load - ceiling, static_cast<int>(moves), seconds(0.8));
     }
-    ceiling = std::min(ceiling_of(now, s), ceiling);
+    ceiling = std::min(bare_ceiling(now, s), ceiling);
     s.ceiling = ceiling;
     s.ceiling_at = now;
     note_unusual(s);
 }
 
 // Seconds of fading distrust bring back what the notes took: a share of a usual server's load each second.
-double Brain::ceiling_of(Instant now, const Server& s) const {
+double Brain::bare_ceiling(Instant now, const Server& s) const {
     if (s.ceiling < 0) return unbounded;
     const double t = in_seconds(now - s.ceiling_at);
     return t > ceiling_life ? unbounded : s.ceiling + t * ceiling_growth * full_share(s);
 }
 
+// Many balancers hold a connection or none each on a server: rounded by chance, their whole connections add
+// up to what it can do; cut off all alike, they would leave it empty (ief3d44). With many connections it
+// hardly matters.
+double Brain::ceiling_of(Instant now, const Server& s) const { return bare_ceiling(now, s) + s.rounding; }
+
 double Brain::full_share(const Server& s) const {
     return load_in(all_) * weight_of(s) / std::max(listed_weight_, 1e-9);
 }
@@ -686,7 +685,7 @@
     const double x = std::max(*report.load_share, 0.05), load = load_on(s);
     const double fits = load * good_use / x;
     if (x > good_use) {
-        s.ceiling = std::min(ceiling_of(now, s), fits);
+        s.ceiling = std::min(bare_ceiling(now, s), fits);
         s.ceiling_at = now;
         note_unusual(s);
     }
--- a/src/brain.h
+++ b/src/brain.h
@@ -204,7 +204,6 @@
     void place_alone(const Room&, Call&);
     void place_with_group(const Room&, Call&);
     bool is_open(const Room&, int server) const;
-    bool over_ceiling(const Share&, double load) const;
     bool is_slow(const Room&, int server) const;
     bool seems_slow(const Room&, int server);
     bool has_room(const Room&, int server, bool grouped) const;
@@ -220,6 +219,7 @@
     int members_on(int server, const std::string& group) const;
     double type_load(size_t type) const;
     double load_in(const Holding&) const;
+    double bare_ceiling(Instant, const Server&) const;
     double ceiling_of(Instant, const Server&) const;
     double full_share(const Server&) const;
     double trust(Instant, const Server&) const;
