--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -174,13 +174,12 @@
         const double share = share_of(room.fleet, k);
         if (in_home++ > 0 && needed < share * std::exp(-servers_[k].draw)) break;
         needed -= share;
-        const bool slow = seems_slow(room, k);
-        slow_at_home += slow;
-        if (slow || !has_room(room, k, true)) continue;
+        slow_at_home += is_slow(room, k);
+        if (!has_room(room, k, true)) continue;
         if (call.group.empty()) return void(call.chosen = k);
         if (call.chosen < 0 || own_rank(k) < own_rank(call.chosen)) call.chosen = k;
     }
-    if (call.chosen >= 0) return;
+    if (call.chosen >= 0) return void(call.chosen = seems_slow(room, call.chosen) ? -1 : call.chosen);
     // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
     // (i14adcf).
     if (slow_at_home > 0 && room.fleet.slow_part * slow_fleet > 1) return;
@@ -211,9 +210,9 @@
 // of: otherwise, with hundreds of balancers, whatever one sheds another brings back (i61ff1f).
 bool Brain::seems_slow(const Room& room, int k) {
     const Server& s = servers_[k];
-    if (!s.standing.empty() || (s.unusual >= 0 && room.fleet.unusual[s.unusual].ceiling < unbounded))
-        return is_slow(room, k);
-    return room.fleet.slow_part * slow_fleet > 1 && chance_.uniform() < room.fleet.slow_part;
+    const bool heard =
+        !s.standing.empty() || (s.unusual >= 0 && room.fleet.unusual[s.unusual].ceiling < unbounded);
+    return !heard && room.fleet.slow_part * slow_fleet > 1 && chance_.uniform() < room.fleet.slow_part;
 }
 
 bool Brain::has_room(const Room& room, int k, bool grouped) const {
@@ -629,8 +628,8 @@
     s.resets = now - s.reset_at < crash_window ? s.resets + 1 : 1;
     s.reset_at = now;
     suspect(now, s, points_reset);
-    // A server that is asked too much drops its newest connections; whoever held only those would hear no more
-    // of it and send them there again.
+    // A server that is asked too much drops its newest connections; whoever held only those would hear no
+    // more of it and send them there again.
     s.ceiling = std::min(bare_ceiling(now, s), load_on(s));
     s.ceiling_at = now;
     if (s.resets >= 2 && s.resets >= static_cast<int>(s.standing.size())) s.restarted_unlisted = true;
