--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -212,7 +212,7 @@
     const Server& s = servers_[k];
     const bool heard =
         !s.standing.empty() || (s.unusual >= 0 && room.fleet.unusual[s.unusual].ceiling < unbounded);
-    return !heard && chance_.uniform() < room.fleet.slow_part;
+    return !heard && room.fleet.slow_part * slow_fleet > 1 && chance_.uniform() < room.fleet.slow_part;
 }
 
 bool Brain::has_room(const Room& room, int k, bool grouped) const {
