--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -628,11 +628,15 @@
     s.resets = now - s.reset_at < crash_window ? s.resets + 1 : 1;
     s.reset_at = now;
     suspect(now, s, points_reset);
-    // A server that is asked too much drops its newest connections; whoever held only those would hear no
-    // more of it and send them there again.
+    if (s.resets >= 2 && s.resets >= static_cast<int>(s.standing.size())) {
+        s.restarted_unlisted = true;
+        s.ceiling = -1;
+        return;
+    }
+    // A server that is asked too much drops its newest connections; whoever held only those would hear no more
+    // of it and send them there again.
     s.ceiling = std::min(bare_ceiling(now, s), load_on(s));
     s.ceiling_at = now;
-    if (s.resets >= 2 && s.resets >= static_cast<int>(s.standing.size())) s.restarted_unlisted = true;
 }
 
 // How long a message takes is work piled up: its growth in a second is what the server was asked beyond what
