--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -166,7 +166,6 @@
     // A balancer that holds few connections cannot tell what part of all belongs to a group.
     double needed =
         group_spread * (room.load + members) * room.fleet.total / (room.fleet.total + group_doubt());
-    if (call.again) needed *= 2;
     size_t at = 0;
     int slow_at_home = 0, in_home = 0;
     for (; at < draw.order.size() && (needed > 0 || call.group.empty()); ++at) {
