--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,6 +44,8 @@
 // Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
 // counts in the shares for that after a term.
 constexpr double cold_part = 1.6, weight_kept = 0.9;
+// Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
+constexpr double far_cost = 8, least_far = 0.2;
 constexpr double heard_least = 1;
 constexpr int slow_fleet = 3;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
@@ -53,9 +55,6 @@
 
 enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again };
 
-// A list may name a server without weight; it still counts for something, so that shares stay finite.
-double weight_of(const Server& s) { return std::max(s.listed.weight, 1e-3); }
-
 uint64_t hash_of(const std::string& text) {
     uint64_t h = 1469598103934665603ULL;
     for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
@@ -230,14 +229,14 @@
     for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
         if (!is_open(room, k) || is_slow(room, k)) continue;
         const Server& s = servers_[k];
-        const double added = draw ? draw->at[k] * weight_of(s) : s.draw;
+        const double added = draw ? draw->at[k] * s.weight : s.draw;
         const double over = (load_on(s) + added * room.load) / std::max(share_of(room.fleet, k), 1e-9);
         if (least < 0 || over < least_over) least = k, least_over = over;
     }
     return least;
 }
 
-double Brain::own_rank(int k) const { return servers_[k].draw / weight_of(servers_[k]); }
+double Brain::own_rank(int k) const { return servers_[k].draw / servers_[k].weight; }
 
 Brain::Verdict Brain::send(Instant now, Call& call) {
     const Span left = call.guard - now;
@@ -351,7 +350,7 @@
 // balancers that hear of the server at once add up to its share, and most of them send nothing.
 bool Brain::cold_budget_left(Instant now, const Server& s, double load, double total) const {
     if (!cold(now, s)) return true;
-    const double budget = total * weight_of(s) / usual_weight_ * ramp(now, s) * cold_part;
+    const double budget = total * s.weight / usual_weight_ * ramp(now, s) * cold_part;
     return s.cold_sent + load * (1 - s.cold_chance) <= budget;
 }
 
@@ -385,7 +384,7 @@
         f.left_out = call && !call->legs.empty() && !desperate ? call->legs.back().server : -1;
         double weights = listed_weight_;
         f.open = listed_active_;
-        const auto leave = [&](const Server& s) { weights -= weight_of(s), --f.open; };
+        const auto leave = [&](const Server& s) { weights -= s.weight, --f.open; };
         if (f.left_out >= 0 && servers_[f.left_out].listed.condition == Condition::active)
             leave(servers_[f.left_out]);
         if (call && scope_of(*call) != Scope::all)
@@ -401,7 +400,7 @@
             const bool ready = counted && (desperate || usable(now, s));
             if (counted) leave(s);
             const bool open = ready && (!call || cold_budget_left(now, s, load_of(*call), f.total));
-            const double part = ready ? weight_of(s) * ramp(now, s) * trust(now, s) : 0;
+            const double part = ready ? s.weight * ramp(now, s) * trust(now, s) : 0;
             f.unusual.push_back({k, load_on(s), part, ceiling_of(now, s), ready, open});
             weights += part;
             f.open += open;
@@ -439,7 +438,7 @@
 
 double Brain::share_of(const Fleet& f, int k) const {
     const Server& s = servers_[k];
-    return s.unusual >= 0 ? f.unusual[s.unusual].share : f.each * weight_of(s);
+    return s.unusual >= 0 ? f.unusual[s.unusual].share : f.each * s.weight;
 }
 
 void Brain::note_unusual(Server& s) {
@@ -463,7 +462,7 @@
         const Server& s = servers_[draw.at.size()];
         const double u = Pcg32(seed, hash_of(s.listed.server)).uniform();
         draw.order.push_back(static_cast<int>(draw.at.size()));
-        draw.at.push_back(-std::log(u) / weight_of(s));
+        draw.at.push_back(-std::log(u) / s.weight);
     }
     std::sort(draw.order.begin(), draw.order.end(), [&](int a, int b) { return draw.at[a] < draw.at[b]; });
     return draw;
@@ -633,8 +632,8 @@
         s.ceiling = -1;
         return;
     }
-    // A server that is asked too much drops its newest connections; whoever held only those would hear no more
-    // of it and send them there again.
+    // A server that is asked too much drops its newest connections; whoever held only those would hear no
+    // more of it and send them there again.
     s.ceiling = std::min(bare_ceiling(now, s), load_on(s));
     s.ceiling_at = now;
 }
@@ -678,7 +677,7 @@
 double Brain::ceiling_of(Instant now, const Server& s) const { return bare_ceiling(now, s) + s.rounding; }
 
 double Brain::full_share(const Server& s) const {
-    return load_in(all_) * weight_of(s) / std::max(listed_weight_, 1e-9);
+    return load_in(all_) * s.weight / std::max(listed_weight_, 1e-9);
 }
 
 // Where servers report the load asked of them over what they can do, a ceiling need not wait for slow
@@ -839,7 +838,7 @@
     listed_active_ = 0;
     for (Server& s : servers_) {
         if (kind != ListKind::partial && s.named_in != lists_) s.listed.condition = Condition::left;
-        if (s.listed.condition == Condition::active) listed_weight_ += weight_of(s), ++listed_active_;
+        if (s.listed.condition == Condition::active) listed_weight_ += s.weight, ++listed_active_;
     }
     usual_weight_ = std::max(usual_weight_, listed_weight_);
 }
@@ -850,6 +849,7 @@
         servers_.emplace_back();
         servers_.back().listed = entry;
         servers_.back().named_in = lists_;
+        weigh(servers_.back());
         servers_.back().draw = -std::log(Pcg32(told_.slot, hash_of(entry.server)).uniform());
         if (entry.launched) begin_warm_up(*entry.launched, servers_.back());
         return;
@@ -858,11 +858,19 @@
     const bool restarted = entry.launched && (!s.listed.launched || *entry.launched > *s.listed.launched);
     s.listed = entry;
     s.named_in = lists_;
+    weigh(s);
     if (!restarted) return;
     begin_warm_up(*entry.launched, s);
     begin_anew(now, s);
 }
 
+// A list may name a server without weight; it still counts for something, so that shares stay finite. Another
+// zone's server counts less where crossing is dear; a cheap crossing is not worth groups in every zone.
+void Brain::weigh(Server& s) {
+    s.weight = std::max(s.listed.weight, 1e-3);
+    if (s.listed.zone != told_.zone) s.weight *= std::max(least_far, 1 - told_.cross_price * far_cost);
+}
+
 void Brain::begin_warm_up(Instant from, Server& s) {
     s.warm_from = from;
     s.restarted_unlisted = false;
--- a/src/brain.h
+++ b/src/brain.h
@@ -41,6 +41,8 @@
     int tenants = 0;
     int max_legs = 1;
     uint64_t slot = 0;  // this balancer's own number
+    int zone = 0;
+    double cross_price = 0;  // of a call that crosses zones, as part of all service
     bool ask_list = false, pass_mode = false, groups = false, advises = false;
     Span park, max_advice, step, cold_time;
 };
@@ -98,6 +100,7 @@
 
 struct Server {
     Listed listed;
+    double weight = 1;                 // listed, less for other zones
     bool restarted_unlisted = false;   // seen to come back after a break that the list has not told of yet
     std::optional<Instant> warm_from;  // start of the warm-up, told or seen
     std::vector<CallId> standing;
@@ -227,6 +230,7 @@
     bool cold(Instant, const Server&) const;
     bool usable(Instant, const Server&) const;
     bool cold_budget_left(Instant, const Server&, double load, double total) const;
+    void weigh(Server&);
     void begin_warm_up(Instant from, Server&);
     double usual_load() const;
     void learn(int type, double micros);
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -183,6 +183,9 @@
         }
     }
     if (find(o, "realms")) d.tenants = static_cast<int>(array(o, "realms").Size());
+    d.zone = small_or_zero(o, "az");
+    if (find(o, "charges") && find(object(o, "charges"), "crossZone"))
+        d.cross_price = real(object(o, "charges"), "crossZone");
     d.max_legs = small(ceilings, "maxLegs");
     d.slot = static_cast<uint64_t>(small_or_zero(o, "slotNo"));
     d.advises = flag_or(ceilings, "retryAfter", false);
