Tests for fleets and tiers of any size

Shares under one connection reach every server by weight, subsets change little with one server, balancers agree on a group's home, groups never seen in pairs are small, unheard servers are slow as often as heard ones, hundreds shed a part between them, near servers first where crossing is dear, odd lists.

--- /dev/null
+++ b/tests/test_scale.cpp
@@ -0,0 +1,137 @@
+// Fleets and tiers of any size: one balancer holding hundreds of connections, hundreds holding a few each.
+#include "helpers.h"
+
+// Where the first call of each of `tier` balancers goes.
+static std::vector<ServerId> first_choices(int tier, const std::vector<Listed>& list,
+                                           const std::string& group = "") {
+    std::vector<ServerId> chosen;
+    for (int k = 0; k < tier; ++k) {
+        auto&& [w, b, p] = Rig(list, numbered(static_cast<uint64_t>(k)));
+        b.call_arrived(term_start, call(1, term_start, "", group));
+        assert(w.sent.size() == 1);
+        chosen.push_back(w.sent[0].server);
+    }
+    return chosen;
+}
+
+// With a share of a tenth no server stays below it with a connection counted: all balancers sent every call
+// to the server of the largest weight.
+static const Case shares_under_one_connection_reach_every_server_by_weight{[] {
+    std::map<ServerId, int> calls;
+    for (const ServerId& s : first_choices(600, fleet(40))) ++calls[s];
+    assert(calls.size() == 40);  // a server of weight 1 gets 10 of 600, one of weight 2 gets 20
+    int light = 0, most = 0;
+    for (const auto& [s, n] : calls) light += (s[0] - 'A') % 2 == 0 ? n : 0, most = std::max(most, n);
+    assert(light > 140 && light < 260 && most < 45);
+}};
+
+static const Case one_server_more_or_less_changes_few_members_of_the_subsets{[] {
+    int changed = 0;
+    for (uint64_t k = 0; k < 200; ++k) {
+        auto&& [w, b, p] = Rig(fleet(40), numbered(k));
+        const std::vector<ServerId> before = p.subset(5);
+        b.list_told(term_start, ListKind::complete, fleet(41));
+        for (const ServerId& s : p.subset(5)) changed += !std::count(before.begin(), before.end(), s);
+    }
+    assert(changed > 0 && changed < 50);  // of 1,000; its own part of them is 17 or 33
+}};
+
+// Every balancer that shares nothing with the others must send a group to the same few servers.
+static const Case balancers_agree_on_a_groups_home{[] {
+    std::map<ServerId, int> calls;
+    for (const ServerId& s : first_choices(300, fleet(40), "g")) ++calls[s];
+    int most = 0;
+    for (const auto& [s, n] : calls) most = std::max(most, n);
+    assert(calls.size() <= 4 && most > 150);
+}};
+
+// i8e85f8: of 1,587 groups each balancer saw one member and opened it on up to five servers.
+static const Case a_balancer_that_holds_no_two_of_a_group_takes_groups_for_small{[] {
+    const auto home = [](bool pairs) {
+        std::map<ServerId, int> calls;
+        for (uint64_t k = 0; k < 100; ++k) {
+            auto&& [w, b, p] = Rig(fleet(40), numbered(k));
+            for (CallId id = 1; id <= 16; ++id)
+                b.call_inherited(
+                    term_start,
+                    call(id, term_start, "", ServerId(1, static_cast<char>('h' + (pairs ? id / 4 : id)))),
+                    ServerId(1, static_cast<char>('A' + id)));
+            b.call_arrived(term_start, call(100, term_start, "", "g"));
+            ++calls[w.sent.at(0).server];
+        }
+        return calls.size();
+    };
+    assert(home(false) <= 2 && home(true) > home(false));
+}};
+
+// i61ff1f: what one balancer shed another brought back, as it held nothing there and knew of nothing slow.
+static const Case servers_not_heard_of_are_slow_as_often_as_the_others{[] {
+    int refused = 0;
+    for (uint64_t k = 0; k < 100; ++k) {
+        auto&& [w, b, p] = Rig(fleet(40), numbered(k));
+        for (CallId id = 1; id <= 9; ++id) {
+            const ServerId s(1, static_cast<char>('A' + id));
+            stand(b, term_start, s, id, 1);
+            if (id <= 8) b.delay_told(term_start, s, 900);
+        }
+        b.call_arrived(term_start, call(100, term_start, "", "g"));
+        refused += !w.rejected.empty();
+    }
+    assert(refused > 60 && refused < 98);
+}};
+
+// ief3d44: every balancer hears the same note, and all cut a server off alike. Each sheds its one connection
+// by chance, so that together they shed the part that is too much, and only once.
+static const Case hundreds_shed_a_part_between_them{[] {
+    int shed = 0;
+    for (uint64_t k = 0; k < 300; ++k) {
+        auto&& [w, b, p] = Rig(fleet(40), numbered(k));
+        stand(b, term_start, "A", 1, 1);
+        Instant now = term_start;
+        for (const double ms : {600, 500, 400}) {  // the backlog goes down by itself after the first note
+            b.delay_told(now, "A", ms);
+            now = now + seconds(1);
+            for (const auto& [at, token] : p.due(w))
+                if ((token & 0xff) == 3) b.timer_rang(now, token);
+        }
+        shed += static_cast<int>(w.moved.size());
+    }
+    assert(shed > 150 && shed < 240);  // 54 % on the first note, 17 % of the rest on each other
+}};
+
+static const Case a_near_server_comes_first_where_crossing_is_dear{[] {
+    for (const double price : {0.0, 0.1}) {
+        Deployment d = deployment();
+        d.cross_price = price;
+        auto&& [w, b, p] = Rig({listed("near", 1, 0), listed("far", 1, 1)}, d);
+        stand(b, term_start, "near", 1, 30);
+        const double share = p.share(term_start, "far");
+        assert(price > 0 ? share < 6 : share > 14);
+    }
+}};
+
+// Lists as no operator means them: sane shares or an answer in time, never a crash nor a division by nothing.
+static const Case odd_lists_leave_sane_shares{[] {
+    auto&& [none, n, np] = Rig({});
+    n.call_arrived(term_start, call(1, term_start, "", "g"));
+    n.timer_rang(term_start, 1);
+    assert(none.sent.empty() && np.call(1).held);
+
+    auto&& [one, o, op] = Rig({listed("a", 0)});
+    for (CallId id = 1; id <= 5; ++id)
+        o.call_arrived(term_start, call(id, term_start, "", id % 2 ? "g" : ""));
+    assert(one.sent.size() == 5);
+
+    auto&& [w, b, p] = Rig({listed("a", 0), listed("b", 0)});
+    stand(b, term_start, "a", 1, 10);
+    assert(p.share(term_start, "a") == 5 && p.share(term_start, "b") == 5);
+    Listed gone = listed("a");
+    gone.condition = Condition::left;
+    b.list_told(term_start, ListKind::partial, {gone});
+    assert(p.share(term_start, "b") == 10);
+    b.list_told(term_start, ListKind::partial,
+                {listed("a"), listed("a")});  // back under the same name, twice
+    b.list_told(term_start, ListKind::persisted, {listed("b"), listed("old")});  // older than the one held
+    b.call_arrived(term_start, call(50, term_start));
+    assert(w.sent.size() == 1 && w.sent[0].server != "a");
+}};
