--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -410,7 +410,7 @@
     }
     double heard = used_ + heard_least;
     for (const Share& s : f.unusual) {
-        f.slow += s.open && servers_[s.server].overfull && s.load + (call ? load_of(*call) : 0) > s.ceiling;
+        f.slow += s.open && s.load + (call ? load_of(*call) : 0) > s.ceiling;
         heard += s.ceiling < unbounded && servers_[s.server].standing.empty();
     }
     f.slow_part = f.slow / heard;
@@ -636,7 +636,6 @@
     // more of it and send them there again.
     s.ceiling = std::min(bare_ceiling(now, s), load_on(s));
     s.ceiling_at = now;
-    s.overfull = true;
 }
 
 // How long a message takes is work piled up: its growth in a second is what the server was asked beyond what
@@ -651,8 +650,7 @@
     const double load = load_on(s), asked = std::clamp(1 + slope, 0.5, 2.5);
     const double wanted = std::max(least_use, good_use - delay / backlog_time);
     double ceiling = load;
-    s.overfull = delay >= in_seconds(shortest_message_) * slow_from;
-    if (s.overfull) {
+    if (delay >= in_seconds(shortest_message_) * slow_from) {
         const double n = std::max(1.0, static_cast<double>(s.standing.size()));
         const double moves = std::floor(n * (1 - std::min(1.0, wanted / asked)) + chance_.uniform());
         ceiling -= load * moves / n;
--- a/src/brain.h
+++ b/src/brain.h
@@ -117,7 +117,6 @@
     double delay = 0;        // seconds that a message was last told to take here
     double ceiling = -1;     // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
-    bool overfull = false;  // when last heard of: messages slow, or connections dropped
     double rounding = 0;  // of the ceiling, by chance
     double draw = 1;      // exponential, mean 1, from a hash of the balancer's own number and the server
     int sent_in_term = 0, lost_in_term = 0;
