--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -47,7 +47,7 @@
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
 constexpr double far_cost = 8, least_far = 0.2;
 constexpr double heard_least = 1;
-constexpr int slow_fleet = 3;  // one in so many servers slow is much of the fleet
+constexpr int slow_fleet = 4;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
