--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -722,15 +722,13 @@
     }
     if (!left_out) return;
     for (Server& s : servers_) {
-        s.excess.fill(0);
+        s.excess.clear();
         for (const CallId id : s.standing) calls_.at(id).spared = false;
         s.spared = 0;
     }
 }
 
 void Brain::plan_shedding(Instant now) {
-    const auto term = static_cast<size_t>(now.ns / term_time.ns % terms_kept);
-    for (Server& s : servers_) s.excess[term] = 0;
     const Fleet fleet = look(now, nullptr);
     for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
         Server& s = servers_[k];
@@ -740,9 +738,9 @@
         const double load = load_on(s), share = share_of(fleet, k), excess = load - share;
         if (load <= share * saturation_band) s.spared_first = true;  // balanced: sparing ends
         if (load <= share * saturation_band || excess < saturation_floor) continue;
-        s.excess[term] = excess;
-        const double most = *std::max_element(s.excess.begin(), s.excess.end());
-        const int calls = std::max(least_shed, static_cast<int>(std::ceil(most / terms_kept)));
+        s.excess.raise(now, excess);
+        const int calls =
+            std::max(least_shed, static_cast<int>(std::ceil(s.excess.largest(now) / terms_kept)));
         start_shedding(now, k, std::min<double>(calls, excess), calls, balance_time - shed_grace);
     }
 }
@@ -846,7 +844,7 @@
 void Brain::apply_listed(Instant now, const Listed& entry) {
     const auto [it, is_new] = index_.emplace(entry.server, static_cast<int>(servers_.size()));
     if (is_new) {
-        servers_.emplace_back();
+        servers_.emplace_back(term_time);
         servers_.back().listed = entry;
         servers_.back().named_in = lists_;
         weigh(servers_.back());
@@ -885,7 +883,7 @@
     s.distrust = 0;
     s.failures_in_row = 0;
     s.skip_until = s.out_until = Instant{};
-    s.excess.fill(0);
+    s.excess.clear();
     s.ceiling = -1;
     const std::vector<CallId> old = s.standing;
     for (const CallId id : old) {
--- a/src/brain.h
+++ b/src/brain.h
@@ -99,6 +99,7 @@
 };
 
 struct Server {
+    explicit Server(Span term) : excess(term) {}
     Listed listed;
     double weight = 1;                 // listed, less for other zones
     bool restarted_unlisted = false;   // seen to come back after a break that the list has not told of yet
@@ -120,8 +121,8 @@
     double rounding = 0;  // of the ceiling, by chance
     double draw = 1;      // exponential, mean 1, from a hash of the balancer's own number and the server
     int sent_in_term = 0, lost_in_term = 0;
-    std::array<double, 6> excess{};
-    double to_shed = 0;  // in usual connections
+    BucketRing<6> excess;  // of the last six terms
+    double to_shed = 0;    // in usual connections
     int resets = 0;
     Span shed_gap;
     bool shedding = false, spared_first = false;
