--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,7 +43,7 @@
 constexpr double pairs_believed = 40;
 // Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
 // counts in the shares for that after a term.
-constexpr double cold_part = 1.6, weight_kept = 0.9;
+constexpr double cold_part = 1.5, weight_kept = 0.9;
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
 constexpr double far_cost = 8, least_far = 0.2;
 constexpr double heard_least = 1;
@@ -55,6 +55,9 @@
 
 enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again };
 
+// A list may name a server without weight; it still counts for something, so that shares stay finite.
+double plain_weight(const Server& s) { return std::max(s.listed.weight, 1e-3); }
+
 uint64_t hash_of(const std::string& text) {
     uint64_t h = 1469598103934665603ULL;
     for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
@@ -350,7 +353,8 @@
 // balancers that hear of the server at once add up to its share, and most of them send nothing.
 bool Brain::cold_budget_left(Instant now, const Server& s, double load, double total) const {
     if (!cold(now, s)) return true;
-    const double budget = total * s.weight / usual_weight_ * ramp(now, s) * cold_part;
+    const double part = plain_weight(s) / usual_weight_;  // all zones alike, as its budget is one for all
+    const double budget = total * part * ramp(now, s) * cold_part;
     return s.cold_sent + load * (1 - s.cold_chance) <= budget;
 }
 
@@ -705,7 +709,7 @@
     judge_term(now);
     // A cold server's part of the calls must not grow as others are lost around it, nor stay small for ever
     // after the fleet has shrunk.
-    usual_weight_ = std::max(listed_weight_, usual_weight_ * weight_kept);
+    usual_weight_ = std::max(plain_weight_, usual_weight_ * weight_kept);
     out_.set_timer(now + shed_grace, term_sheds);
     out_.set_timer(Instant{(now.ns / term_time.ns + 1) * term_time.ns}, term_begins);
 }
@@ -832,13 +836,14 @@
     }
     ++lists_;
     for (const Listed& entry : entries) apply_listed(now, entry);
-    listed_weight_ = 0;
+    listed_weight_ = plain_weight_ = 0;
     listed_active_ = 0;
     for (Server& s : servers_) {
         if (kind != ListKind::partial && s.named_in != lists_) s.listed.condition = Condition::left;
-        if (s.listed.condition == Condition::active) listed_weight_ += s.weight, ++listed_active_;
+        if (s.listed.condition != Condition::active) continue;
+        listed_weight_ += s.weight, plain_weight_ += plain_weight(s), ++listed_active_;
     }
-    usual_weight_ = std::max(usual_weight_, listed_weight_);
+    usual_weight_ = std::max(usual_weight_, plain_weight_);
 }
 
 void Brain::apply_listed(Instant now, const Listed& entry) {
@@ -862,10 +867,10 @@
     begin_anew(now, s);
 }
 
-// A list may name a server without weight; it still counts for something, so that shares stay finite. Another
-// zone's server counts less where crossing is dear; a cheap crossing is not worth groups in every zone.
+// Another zone's server counts less where crossing is dear; a cheap crossing is not worth groups in every
+// zone.
 void Brain::weigh(Server& s) {
-    s.weight = std::max(s.listed.weight, 1e-3);
+    s.weight = plain_weight(s);
     if (s.listed.zone != told_.zone) s.weight *= std::max(least_far, 1 - told_.cross_price * far_cost);
 }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -268,8 +268,8 @@
     std::unordered_map<std::string, Draw> draws_;                               // that are unordered
     std::vector<int> unusual_;
     Holding all_;
-    double standing_ = 0, pairs_ = 0;  // own connections; pairs of them in one group
-    double listed_weight_ = 0;         // of the active
+    double standing_ = 0, pairs_ = 0;              // own connections; pairs of them in one group
+    double listed_weight_ = 0, plain_weight_ = 0;  // of the active, other zones at their part and in full
     int listed_active_ = 0, lists_ = 0, used_ = 0;
     std::unordered_map<CallId, Call> calls_;
     std::deque<CallId> held_;
--- a/tests/test_rules.cpp
+++ b/tests/test_rules.cpp
@@ -84,8 +84,8 @@
     assert(w.sent.size() == 20);
 }};
 
-// A cold server gets no more than 1.6 of its warming share, whatever is asked, and also when what it
-// was sent has ended again.
+// A cold server gets no more than one and a half of its warming share, whatever is asked, and also when what
+// it was sent has ended again.
 static const Case a_cold_server_has_a_budget{[] {
     Listed cold = listed("cold");
     cold.launched = term_start;
@@ -98,7 +98,7 @@
     }
     int sent = 0;
     for (const auto& s : w.sent) sent += s.server == "cold";
-    assert(sent >= 16 && sent <= 17 && w.sent.size() == 100);
+    assert(sent >= 15 && sent <= 16 && w.sent.size() == 100);
 }};
 
 // south-bengal-replace-later, big-1: hundreds of balancers, each within a budget of one leg, pushed cold
@@ -132,7 +132,7 @@
     for (size_t step = 1; step < 100; ++step) {
         all += legs[step];
         // 1,800 connections on twenty servers: its share is 90, and it warms evenly.
-        assert(all <= 90 * 1.6 * (0.01 * static_cast<double>(step)) * 1.5 + 20);
+        assert(all <= 90 * 1.5 * (0.01 * static_cast<double>(step)) * 1.5 + 20);
     }
     assert(all > 60);  // kept, but not starved
 }};
