--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -184,7 +184,7 @@
     if (call.chosen >= 0) return void(call.chosen = seems_slow(room, call.chosen) ? -1 : call.chosen);
     // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
     // (i14adcf).
-    if (slow_at_home > 0 && room.fleet.slow_part * 3 > 1) return;
+    if (slow_at_home > 0 && room.fleet.slow_part * slow_fleet > 1) return;
     for (; at < draw.order.size(); ++at)
         if (has_room(room, draw.order[at], true)) return void(call.chosen = draw.order[at]);
     call.chosen = least_over(room, &draw);
