--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -24,19 +24,20 @@
 constexpr double kept_share = 0.1;
 // Design 6: the table of keys that failed elsewhere.
 constexpr size_t keys_kept = 2048, draws_kept = 4096;
-constexpr int few_tries = 16;
 constexpr Span key_age_limit = seconds(30);
+constexpr int few_tries = 16;  // at a random server, before all are looked at
 // Distrust: points a failure, time in which half of it fades, and the first time-out of a failing server.
 constexpr double points_failed = 1, points_full = 0.5, points_reset = 0.5, points_forgiven = 0.5,
                  forgotten = 0.02;
 constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(3);
 // Legs: the share of the setup target that a leg may take while another could follow.
 constexpr double leg_patience = 0.6;
-// Groups: how far over share a server may go for a group's members.
 // Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
+// Groups: the work that a server has with one, in usual connections; how far over share and by how many
+// connections it may go for one; how much larger than its part a home is.
 constexpr double group_work = 4;
 constexpr double group_slack = 1.25, group_room = 2, group_spread = 1.3;
 // Pairs of connections that a balancer sees before it believes how often two are in one group.
@@ -46,6 +47,7 @@
 constexpr double cold_part = 1.5, weight_kept = 0.9;
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
 constexpr double far_cost = 8, least_far = 0.2;
+// Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
 constexpr double heard_least = 1;
 constexpr int slow_fleet = 4;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
