--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -49,9 +49,6 @@
 constexpr double far_cost = 8, least_far = 0.2;
 // Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
 constexpr double heard_least = 1;
-// What was heard of a server before that says nothing of the fleet now: whoever has shed hears no more of its
-// recovery, and rejected calls for half a minute after a burst (h631339).
-constexpr Span heard_for = seconds(5);
 constexpr int slow_fleet = 4;  // one in so many servers slow is much of the fleet
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
@@ -419,10 +416,8 @@
     }
     double heard = used_ + heard_least;
     for (const Share& s : f.unusual) {
-        const Server& server = servers_[s.server];
-        if (s.ceiling >= unbounded || now - server.ceiling_at > heard_for) continue;
         f.slow += s.open && s.load + (call ? load_of(*call) : 0) > s.ceiling;
-        heard += server.standing.empty();
+        heard += s.ceiling < unbounded && servers_[s.server].standing.empty();
     }
     f.slow_part = f.slow / heard;
     return f;
