SIGHUP reads the configuration again and follows discovery to its new address

Now the file is read again. Its discovery wins over PROXY_DISCOVERY; the new address is asked at once for the whole list, the old watch goes on until it answers. Limits, settings and traffic types apply: types, tenants and zones keep their places so that open calls and listed servers keep theirs. A bad file changes nothing.

Tests: a reload on sockets, twice and while leaving; a bad one; the program itself under SIGHUP. All fail without.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -74,20 +74,23 @@
                                                 {&Brain::send, &Brain::back_send}}};
 
 Brain::Brain(Deployment told, uint64_t seed, Actions& out, Instant now)
-    : told_(std::move(told)),
-      out_(out),
-      chance_(seed),
-      type_load_(told_.types.size()),
-      type_seen_(told_.types.size()),
-      ask_pause_(first_ask_pause) {
-    shortest_message_ = seconds(1000);
-    for (const TrafficType& t : told_.types)
-        if (t.message_target.ns > 0) shortest_message_ = std::min(shortest_message_, t.message_target);
+    : told_(std::move(told)), out_(out), chance_(seed), ask_pause_(first_ask_pause) {
+    told_again(told_);
     const int64_t term = now.ns / term_time.ns;
     out_.set_timer(Instant{(term + 1) * term_time.ns}, term_begins);
     if (told_.ask_list) ask_list(now);
 }
 
+void Brain::told_again(Deployment told) {
+    told.slot = told_.slot;  // what was drawn from it stands
+    told_ = std::move(told);
+    type_load_.resize(told_.types.size());
+    type_seen_.resize(told_.types.size());
+    shortest_message_ = seconds(1000);
+    for (const TrafficType& t : told_.types)
+        if (t.message_target.ns > 0) shortest_message_ = std::min(shortest_message_, t.message_target);
+}
+
 // ---- the chain ----
 
 void Brain::run_chain(Instant now, Call& call) {
--- a/src/brain.h
+++ b/src/brain.h
@@ -141,6 +141,7 @@
     void load_told(Instant, CallId, double micros_a_second);
     void delay_told(Instant, const ServerId&, double millis);
     void list_told(Instant, ListKind, const std::vector<Listed>&);
+    void told_again(Deployment);  // the same rows of types in the same places; more may follow
     void timer_rang(Instant, uint64_t token);
     void probe_ended(Instant, const ServerId&, Ending, Span took, const LoadReport&);
 
--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -65,18 +65,29 @@
     ev_timer_stop(loop_, &looks_);
 }
 
+static Address discovery_of(const Boot& boot) {
+    const auto address = Address::from(boot.discovery);
+    if (address) return *address;
+    throw Malformed("the address of discovery, '" + boot.discovery + "', is not HOST:PORT in numbers");
+}
+
+std::unique_ptr<Discovery> Balancer::watch(const Address& address) {
+    return std::make_unique<Discovery>(loop_, address, boot_.discovery, exchange_.told(), clock_, counters_,
+                                       log_, [this](const Discovery& from, const ListNews& news) {
+                                           if (&from == next_discovery_.get())
+                                               discovery_ = std::move(next_discovery_);
+                                           exchange_.list_told(
+                                               news.complete ? ListKind::complete : ListKind::partial, news);
+                                       });
+}
+
 void Balancer::start() {
-    const auto discovery = Address::from(boot_.discovery), listen = Address::from(boot_.listen);
-    if (!discovery)
-        throw Malformed("the address of discovery, '" + boot_.discovery + "', is not HOST:PORT in numbers");
+    const Address discovery = discovery_of(boot_);
+    const auto listen = Address::from(boot_.listen);
     if (!listen)
         throw Malformed("the address to listen on, '" + boot_.listen + "', is not HOST:PORT in numbers");
     exchange_.list_told(ListKind::persisted, boot_.known);
-    discovery_ = std::make_unique<Discovery>(
-        loop_, *discovery, boot_.discovery, boot_.told, clock_, counters_, log_,
-        [this](const ListNews& news) {
-            exchange_.list_told(news.complete ? ListKind::complete : ListKind::partial, news);
-        });
+    discovery_ = watch(discovery);
     discovery_->start();
     std::string fault;
     if (!clients_.listen(*listen, fault)) throw Malformed("cannot listen on " + boot_.listen + ": " + fault);
@@ -87,6 +98,30 @@
                 << boot_.known.entries.size() << " servers known";
 }
 
+// The old watch goes on until the new address has answered: a mistyped one, or one that is not up yet, must
+// not leave the balancer without news. Versions are the new address's own, so it is asked for the whole list.
+void Balancer::reload(Boot now) {
+    const Address discovery = discovery_of(now);
+    if (now.listen != boot_.listen || now.name != boot_.name)
+        log_.warning() << "name and listening address stay until the next start";
+    now.listen = boot_.listen, now.name = boot_.name;
+    boot_ = std::move(now);
+    descriptors_ = descriptors_of(boot_);
+    clients_.allow(descriptors_);
+    exchange_.told_again(boot_.told);
+    servers_.delays_from(least_delay_told(exchange_.told()));
+    next_discovery_ = watch(discovery);
+    next_discovery_->start();
+    counters_.add(Count::reloads);
+    log_.info() << "configuration read again, discovery at " << boot_.discovery << ", " << descriptors_
+                << " descriptors";
+}
+
+void Balancer::refuse_reload(const std::string& why) {
+    counters_.add(Count::reloads_refused);
+    log_.error() << "the configuration stays as it was: " << why;
+}
+
 bool Balancer::has_room(Count& short_of) const {
     if (Fd::held() + per_call + descriptors_kept > descriptors_)
         return short_of = Count::refused_for_descriptors, false;
--- a/src/net/balancer.h
+++ b/src/net/balancer.h
@@ -21,7 +21,11 @@
     ~Balancer();
     Balancer(const Balancer&) = delete;
     Balancer& operator=(const Balancer&) = delete;
-    void start();          // throws Malformed where an address cannot be used
+    void start();  // throws Malformed where an address cannot be used
+    // Takes over what can change under way and asks the address of discovery named there; throws Malformed,
+    // and leaves everything as it was, where it cannot be used.
+    void reload(Boot);
+    void refuse_reload(const std::string& why);
     void begin_leaving();  // moves or answers everyone, then breaks the loop
     const Counters& counters() const { return counters_; }
 
@@ -31,9 +35,10 @@
     void set_timer(Instant, uint64_t token);
     void look_after();
     bool has_room(Count& short_of) const;
+    std::unique_ptr<Discovery> watch(const Address&);
 
     struct ev_loop* loop_;
-    const Boot& boot_;
+    Boot boot_;
     const Clock& clock_;
     Log& log_;
     Counters counters_;
@@ -45,7 +50,7 @@
     ClientSide clients_;
     ServerSide servers_;
     Exchange exchange_;
-    std::unique_ptr<Discovery> discovery_;
+    std::unique_ptr<Discovery> discovery_, next_discovery_;  // the next one has not answered yet
     bool leaving_ = false;
     Instant arrivals_end_, exit_at_;
 };
--- a/src/net/boot.cpp
+++ b/src/net/boot.cpp
@@ -48,14 +48,14 @@
     return read_boot({std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()}, clock);
 }
 
-Boot boot_from_environment(const Clock& clock) {
-    const char* path = std::getenv("PROXY_CONFIG");
-    if (!path) throw Malformed("PROXY_CONFIG is not set: it names the configuration file");
+Boot read_boot_here(const std::string& path, const Clock& clock, Read when) {
     Boot boot = read_boot_file(path, clock);
     for (const auto& [variable, field] : {std::pair{"PROXY_NAME", &boot.name},
                                           {"PROXY_LISTEN", &boot.listen},
-                                          {"PROXY_DISCOVERY", &boot.discovery}})
+                                          {"PROXY_DISCOVERY", &boot.discovery}}) {
+        if (when == Read::again && field == &boot.discovery) continue;
         if (const char* value = std::getenv(variable); value && *value) *field = value;
+    }
     return boot;
 }
 
--- a/src/net/boot.h
+++ b/src/net/boot.h
@@ -20,6 +20,9 @@
 // Throws Malformed with a message for the operator.
 Boot read_boot(const std::string& json, const Clock&);
 Boot read_boot_file(const std::string& path, const Clock&);
-Boot boot_from_environment(const Clock&);
+// The environment wins over the file, but for the address of discovery at a reload: the environment is from
+// the start of the process and cannot follow a move.
+enum class Read { at_start, again };
+Boot read_boot_here(const std::string& path, const Clock&, Read);
 
 }  // namespace headrouter
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -18,6 +18,7 @@
     void report_to(ClientEvents& events) { events_ = &events; }
     bool listen(const Address&, std::string& fault);
     void stop_listening();
+    void allow(int most_descriptors) { most_descriptors_ = most_descriptors; }
 
     void pass(CallId, std::string_view bytes) override;
     void serve(CallId) override;
--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -3,6 +3,7 @@
 #include <getopt.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <sstream>
 
@@ -24,7 +25,8 @@
     "  -l, --log LEVEL     error, warning, info or debug (default: info)\n"
     "\n"
     "PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY, where set, win over the file.\n"
-    "Signals to serve: TERM and INT leave in an orderly way, USR1 prints the counters.\n";
+    "Signals to serve: TERM and INT leave in an orderly way, USR1 prints the counters, HUP reads the\n"
+    "configuration again (its discovery then wins over PROXY_DISCOVERY).\n";
 
 std::string printed(const Counters& counters) {
     std::ostringstream text;
@@ -32,14 +34,17 @@
     return text.str();
 }
 
-int serve(const Boot& boot, const Clock& clock, Log& log) {
+int serve(const Boot& boot, const std::string& path, const Clock& clock, Log& log) {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // until the loop listens: it must not end a balancer that still starts
     struct ev_loop* loop = ev_default_loop(EVFLAG_AUTO);
     Balancer balancer(loop, boot, clock, log);
     struct Asked {
         Balancer& balancer;
+        const std::string& path;
+        const Clock& clock;
         Log& log;
-    } asked{balancer, log};
+    } asked{balancer, path, clock, log};
     const auto leave = [](struct ev_loop*, ev_signal* w, int) {
         static_cast<Asked*>(w->data)->balancer.begin_leaving();
     };
@@ -47,14 +52,23 @@
         Asked& a = *static_cast<Asked*>(w->data);
         a.log.info() << printed(a.balancer.counters());
     };
-    ev_signal term, interrupt, user;
+    const auto reload = [](struct ev_loop*, ev_signal* w, int) {
+        Asked& a = *static_cast<Asked*>(w->data);
+        try {
+            a.balancer.reload(read_boot_here(a.path, a.clock, Read::again));
+        } catch (const Malformed& fault) {
+            a.balancer.refuse_reload(fault.what());
+        }
+    };
+    ev_signal term, interrupt, user, hang_up;
     ev_signal_init(&term, leave, SIGTERM);
     ev_signal_init(&interrupt, leave, SIGINT);
     ev_signal_init(&user, print, SIGUSR1);
-    for (ev_signal* s : {&term, &interrupt, &user}) s->data = &asked, ev_signal_start(loop, s);
+    ev_signal_init(&hang_up, reload, SIGHUP);
+    for (ev_signal* s : {&term, &interrupt, &user, &hang_up}) s->data = &asked, ev_signal_start(loop, s);
     balancer.start();
     ev_run(loop, 0);
-    for (ev_signal* s : {&term, &interrupt, &user}) ev_signal_stop(loop, s);
+    for (ev_signal* s : {&term, &interrupt, &user, &hang_up}) ev_signal_stop(loop, s);
     log.info() << printed(balancer.counters());
     return 0;
 }
@@ -99,9 +113,11 @@
     }
     try {
         const Clock clock;
-        const Boot boot = path.empty() ? boot_from_environment(clock) : read_boot_file(path, clock);
+        if (const char* named = std::getenv("PROXY_CONFIG"); path.empty() && named) path = named;
+        if (path.empty()) throw Malformed("PROXY_CONFIG is not set: it names the configuration file");
+        const Boot boot = read_boot_here(path, clock, Read::at_start);
         Log log(std::clog, level, boot.name);
-        return command == "check" ? check(boot) : serve(boot, clock, log);
+        return command == "check" ? check(boot) : serve(boot, path, clock, log);
     } catch (const Malformed& fault) {
         std::cerr << "headrouter: " << fault.what() << "\n";
         return 1;
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -37,6 +37,8 @@
     "lists_told",
     "lists_garbled",
     "list_calls_failed",
+    "reloads",
+    "reloads_refused",
     "refused_for_descriptors",
     "refused_for_memory",
     "accepts_failed",
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -40,6 +40,8 @@
     lists_told,
     lists_garbled,
     list_calls_failed,
+    reloads,
+    reloads_refused,
     refused_for_descriptors,
     refused_for_memory,
     accepts_failed,
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -15,13 +15,13 @@
 constexpr size_t longest_body = 16 << 20;
 }  // namespace
 
-Discovery::Discovery(struct ev_loop* loop, Address address, std::string host, const Told& told,
+Discovery::Discovery(struct ev_loop* loop, Address address, std::string host, const Told& names,
                      const Clock& clock, Counters& counters, Log& log,
-                     std::function<void(const ListNews&)> hear)
+                     std::function<void(const Discovery&, const ListNews&)> hear)
     : loop_(loop),
       address_(address),
       host_(std::move(host)),
-      told_at_start_(told),
+      names_(names),
       clock_(clock),
       counters_(counters),
       log_(log),
@@ -133,7 +133,7 @@
     if (parser_.status_code != 200) return failed("the answer is not 200");
     ListNews news;
     try {
-        news = read_news(body_, told_at_start_, clock_);
+        news = read_news(body_, names_, clock_);
     } catch (const Malformed& fault) {
         counters_.add(Count::lists_garbled);
         log_.warning() << "discovery: " << fault.what();
@@ -152,7 +152,7 @@
     has_list_ = true;
     if (news.complete || !news.entries.empty()) {
         counters_.add(Count::lists_told);
-        told_(news);
+        told_(*this, news);
     }
     if (!goes_on) drop();
     // An agent that answers watches at once with nothing must not keep the balancer busy.
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -15,7 +15,7 @@
 class Discovery {
    public:
     Discovery(struct ev_loop*, Address, std::string host, const Told&, const Clock&, Counters&, Log&,
-              std::function<void(const ListNews&)> told);
+              std::function<void(const Discovery&, const ListNews&)> told);
     ~Discovery();
     Discovery(const Discovery&) = delete;
     Discovery& operator=(const Discovery&) = delete;
@@ -33,11 +33,11 @@
     struct ev_loop* loop_;
     Address address_;
     std::string host_;
-    const Told& told_at_start_;
+    const Told& names_;
     const Clock& clock_;
     Counters& counters_;
     Log& log_;
-    std::function<void(const ListNews&)> told_;
+    std::function<void(const Discovery&, const ListNews&)> told_;
     Fd fd_;
     ev_io io_{};
     ev_timer timer_{};
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -57,6 +57,7 @@
         log_.debug() << "call " << id << ": " << fault << ": " << without_end(line);
         return clients_.answer(id, failed);
     }
+    log_.debug() << "call " << id << ": " << without_end(line);
     Count short_of{};
     if (opening->at.empty() && !clock_.has_room(short_of)) {
         counters_.add(short_of);
@@ -214,6 +215,11 @@
     act();
 }
 
+void Exchange::told_again(const Told& now) {
+    told_ = realigned(told_, now);
+    brain_.told_again(told_.deployment);
+}
+
 void Exchange::timer_rang(uint64_t token) {
     brain_.timer_rang(clock_.now(), token);
     act();
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -39,6 +39,7 @@
     void server_drained(CallId) override;
 
     void list_told(ListKind, const ListNews&);
+    void told_again(const Told&);  // settings read anew under way
     void timer_rang(uint64_t token);
     void look_after();  // a few times a second: late answers, standing connections not up yet
     // Until `arrivals` are over clients still come and are refused; then those that stand move, until `over`.
--- a/src/net/notes.h
+++ b/src/net/notes.h
@@ -18,6 +18,7 @@
     };
     // `least_ms`: delays are told from there on; zero where none are.
     explicit NoteSorter(double least_ms) : least_ms_(least_ms) {}
+    void delays_from(double least_ms) { least_ms_ = least_ms; }
 
     Note sort(Instant now, Heard&, double figure);
     // What has come of a figure in doubt, which `unsure` still holds; looked at a few times a second.
--- a/src/net/server_side.h
+++ b/src/net/server_side.h
@@ -22,6 +22,7 @@
     void end(CallId, How) override;
     void hold_back(CallId, bool) override;
     size_t unsent(CallId) const override;
+    void delays_from(double least_ms) { notes_.delays_from(least_ms); }
     void look_after(Instant now);  // a few times a second
     size_t size() const { return legs_.size(); }
 
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cmath>
 
 #include "wire/json.h"
@@ -136,6 +137,33 @@
     return told;
 }
 
+static std::vector<std::string> align(std::vector<std::string> names, const std::vector<std::string>& now) {
+    for (std::string& name : names)
+        if (std::find(now.begin(), now.end(), name) == now.end()) name.clear();
+    for (const std::string& name : now)
+        if (std::find(names.begin(), names.end(), name) == names.end()) names.push_back(name);
+    return names;
+}
+
+Told realigned(const Told& before, Told now) {
+    const Told read = now;
+    const auto place = [](const std::vector<std::string>& names, const std::string& name) {
+        return static_cast<size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+    };
+    now.types = align(before.types, read.types);
+    now.tenants = align(before.tenants, read.tenants);
+    now.zones = align(before.zones, read.zones);
+    now.deployment.types = before.deployment.types;
+    now.deployment.types.resize(now.types.size());
+    for (size_t k = 0; k < now.types.size(); ++k)
+        if (const size_t at = place(read.types, now.types[k]); at < read.types.size())
+            now.deployment.types[k] = read.deployment.types[at];
+    now.deployment.tenants = static_cast<int>(now.tenants.size());
+    const auto zone = static_cast<size_t>(read.deployment.zone);
+    if (zone < read.zones.size()) now.deployment.zone = static_cast<int>(place(now.zones, read.zones[zone]));
+    return now;
+}
+
 bool Instances::take(const std::string& line) {
     rapidjson::Document doc;
     parse(doc, line);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -57,4 +57,8 @@
 // One JSON object of settings, as the start of an instance hands it over.
 Told told_from(const std::string& json);
 
+// Settings read again under way: numbers that open calls and listed servers hold keep their meaning. What is
+// named no more keeps its row without a name, what is new comes behind.
+Told realigned(const Told& before, Told now);
+
 }  // namespace headrouter
--- a/tests/test_sockets.cpp
+++ b/tests/test_sockets.cpp
@@ -1,12 +1,17 @@
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>  // its streams must be there before the cases run
 #include <sstream>
 
 #include "helpers.h"
 #include "net/balancer.h"
+#include "net/command_line.h"
 
 // The other end of a connection, driven by hand.
 struct Peer {
@@ -279,6 +284,101 @@
     assert(w.says(c, "BUSY") && w.count(Count::legs_sent) == 0);
 }};
 
+static std::string whole_list(int version, const std::string& id, const std::string& at) {
+    return R"({"generation":)" + std::to_string(version) + R"(,"reset":true,"instances":[{"instanceId":")" +
+           id + R"(","hostPort":")" + at + R"(","zone":"a","lifecycle":"SERVING"}]})";
+}
+
+static const Case a_reload_follows_discovery_to_its_new_address{[] {
+    World w;
+    w.lists(whole_list(5, "s", w.server.at));
+    auto [c, s] = w.standing();
+    Listener moved, elsewhere;
+    Boot now = w.boot;
+    now.discovery = elsewhere.at;
+    w.balancer->reload(now);
+    Peer unanswered = w.next(elsewhere);  // a second reload comes before this address has said anything
+    now.discovery = moved.at;
+    w.balancer->reload(now);
+    Peer fresh = w.next(moved);
+    assert(w.says(fresh, "GET /v1/servers HTTP/1.1\r\n") && w.ends(unanswered));
+    w.balancer->begin_leaving();
+    w.balancer->reload(now);  // nor does one on the way out do harm
+    fresh = w.next(moved);
+    const uint64_t lists = w.count(Count::lists_told);
+    c.write("still there\r\n");
+    assert(w.says(s, "still there\r\n") && w.says(w.discovery, "since=5"));  // the old watch goes on so far
+    const std::string body = whole_list(2, "t", w.server.at);  // versions are the new address's own
+    fresh.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    assert(w.says(fresh, "since=2&") && w.ends(w.discovery) && w.count(Count::lists_told) == lists + 1);
+    assert(w.count(Count::reloads) == 3);
+}};
+
+static const Case a_reload_takes_over_limits_and_types_and_keeps_the_old_where_it_is_bad{[] {
+    World w;
+    auto [c, s] = w.standing();
+    Boot now = w.boot;
+    now.discovery = "nowhere";
+    bool refused = false;
+    try {
+        w.balancer->reload(now);
+    } catch (const Malformed&) {
+        refused = true;
+    }
+    assert(refused && w.count(Count::reloads) == 0);
+    now = w.boot;
+    now.told.types = {"talk", "chat"};
+    now.told.deployment.types.insert(now.told.deployment.types.begin(), now.told.deployment.types[0]);
+    w.balancer->reload(now);
+    Peer talk = w.client("c=talk,d=900");
+    Peer placed = w.next(w.server);
+    assert(w.says(placed, "OPEN 1a 2b c=talk,d="));
+    now.descriptors = Fd::held() + 4;
+    w.balancer->reload(now);
+    Peer late = w.client();
+    assert(w.says(late, "BUSY\r\n") && w.count(Count::refused_for_descriptors) == 1);
+}};
+
+// The program itself, as the operators' supervisor signals it: the file's discovery wins over the
+// environment's.
+static const Case a_hang_up_reads_the_file_again{[] {
+    World w;  // for its loop and its listeners only
+    Listener free, old_agent, new_agent;
+    const std::string listen = free.at, path = "reload_test_" + std::to_string(getpid()) + ".json";
+    free.fd.close();
+    const auto write_file = [&](const std::string& discovery) {
+        std::ofstream(path) << R"({"listen":")" << listen << R"(","discovery":")" << discovery
+                            << R"(","seed":"1f","settings":{"discovery":"push","ceilings":{"maxLegs":2},
+            "invariants":{"coldNs":0},"trafficTypes":[{"name":"chat","effect":"pure","setupTargetNs":800000000,
+            "guardTimeNs":1000000000}]}})";
+    };
+    write_file("127.0.0.1:1");
+    const pid_t child = fork();
+    if (child == 0) {
+        setenv("PROXY_CONFIG", path.c_str(), 1);
+        setenv("PROXY_DISCOVERY", old_agent.at.c_str(), 1);
+        std::string serve = "serve", level = "--log=error", name = "headrouter";
+        char* args[] = {name.data(), serve.data(), level.data(), nullptr};
+        _exit(command_line(3, args));
+    }
+    Peer first = w.next(old_agent);
+    assert(w.says(first, "GET /v1/servers HTTP/1.1\r\n"));
+    std::ofstream(path) << "{\"listen\":";
+    kill(child, SIGHUP);
+    w.turn(0.1);
+    write_file(new_agent.at);
+    kill(child, SIGHUP);
+    Peer second = w.next(new_agent);
+    assert(w.says(second, "GET /v1/servers HTTP/1.1\r\n"));
+    Peer c = dial(listen);
+    c.write("PING\r\n");
+    assert(w.says(c, "PONG\r\n"));
+    kill(child, SIGTERM);
+    int status = 0;
+    assert(waitpid(child, &status, 0) == child && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    std::remove(path.c_str());
+}};
+
 static const Case bad_configuration_is_named{[] {
     const Clock clock;
     for (const char* bad : {"", "{}", "[]", R"({"listen":"a"})", R"({"listen":1,"discovery":"b","seed":"1"})",
