Bad first lines, open ids, silent and hasty clients get ERR at once and no server

Ruled out: CPU (at most 0.01 s in a second), memory.

Lines at fault: read_opening took unknown tenants for the first, let fields stand twice or miss, joined two spaces; call_opened never looked at ids; ClientSide left silent connections open for 30 s, 2 s where descriptors were scarce, and closed them without a word; lines sent before the answer were kept for the server.

Now: strict form (16 hex digits, each field once, c, t, d and g there), an id that is open is refused, a client that sends on before its answer gets ERR, silence and half lines ERR after 1.5 s; those that say nothing, and those that do not end after their answer, hold an eighth of the descriptors each and give way when they run short. What comes behind an answer is dropped by the kernel without a copy. PINGs whose answers are not read end the connection. A standing connection's long wait counts only in the process's first 39 s.

Tests in exchange and sockets for each.

--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -41,9 +41,10 @@
       clock_(clock),
       log_(log),
       descriptors_(descriptors_of(boot)),
-      farewell_(loop),
-      clients_(loop, farewell_, descriptors_, counters_, log),
-      servers_(loop, farewell_, counters_, NoteSorter(least_delay_told(boot.told))),
+      client_farewell_(loop),
+      server_farewell_(loop),
+      clients_(loop, client_farewell_, descriptors_, counters_, log),
+      servers_(loop, server_farewell_, counters_, NoteSorter(least_delay_told(boot.told))),
       exchange_(boot.told, boot.seed, clients_, servers_,
                 {&Clock::now, [this](Instant at, uint64_t token) { set_timer(at, token); },
                  [this](Count& short_of) { return has_room(short_of); }},
@@ -122,7 +123,8 @@
     log_.error() << "the configuration stays as it was: " << why;
 }
 
-bool Balancer::has_room(Count& short_of) const {
+bool Balancer::has_room(Count& short_of) {
+    clients_.make_room(per_call + descriptors_kept);
     if (Fd::held() + per_call + descriptors_kept > descriptors_)
         return short_of = Count::refused_for_descriptors, false;
     if (boot_.memory_mb > 0 && LineConn::buffered_by_all() > (boot_.memory_mb << 20) / buffered_part)
@@ -158,11 +160,11 @@
 void Balancer::look_after() {
     const Instant now = Clock::now();
     servers_.look_after(now);
-    clients_.look_for_idle(now);
+    clients_.look_for_silent(now);
     exchange_.look_after();
     if (!leaving_) return;
-    if (now >= exit_at_ || (exchange_.all_gone() && farewell_.size() == 0 && now >= arrivals_end_))
-        ev_break(loop_, EVBREAK_ALL);
+    const bool done = exchange_.all_gone() && client_farewell_.size() + server_farewell_.size() == 0;
+    if (now >= exit_at_ || (done && now >= arrivals_end_)) ev_break(loop_, EVBREAK_ALL);
 }
 
 void Balancer::begin_leaving() {
--- a/src/net/balancer.h
+++ b/src/net/balancer.h
@@ -34,7 +34,7 @@
     void arm();
     void set_timer(Instant, uint64_t token);
     void look_after();
-    bool has_room(Count& short_of) const;
+    bool has_room(Count& short_of);
     std::unique_ptr<Discovery> watch(const Address&);
 
     struct ev_loop* loop_;
@@ -46,7 +46,7 @@
     ev_timer rings_{}, looks_{};
     std::multimap<Instant, uint64_t> timers_;
     bool started_ = false;  // before the exchange: its module sets a timer while it is made
-    Farewell farewell_;
+    Farewell client_farewell_, server_farewell_;
     ClientSide clients_;
     ServerSide servers_;
     Exchange exchange_;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -15,10 +15,16 @@
 namespace headrouter {
 
 namespace {
-constexpr int accepts_at_once = 64;
+// Few, so that those already here are heard in between.
+constexpr int accepts_at_once = 16;
 // From here on a connection is told BUSY right away; before, the exchange refuses calls but still reads them.
 constexpr int last_descriptors = 24, least_descriptors = 6;
-constexpr Span longest_greeting = seconds(30), short_greeting = seconds(2);
+// A client says what it wants at once; a prober of PINGs may keep its connection for the next one.
+constexpr Span longest_greeting = seconds(1.5), longest_after_ping = seconds(30),
+               shortest_greeting = millis(100);
+// Of the descriptors, what those may hold that have not said yet what they want, and those that have their
+// answer and do not end: a usual call needs two, and must find them.
+constexpr int silent_part = 8;
 constexpr std::string_view busy = "BUSY\r\n", failed = "ERR\r\n";
 }  // namespace
 
@@ -33,6 +39,7 @@
         &accept_, [](struct ev_loop*, ev_io* w, int) { static_cast<ClientSide*>(w->data)->accept_some(); },
         -1, EV_READ);
     accept_.data = this;
+    allow(most);
 }
 
 ClientSide::~ClientSide() { stop_listening(); }
@@ -50,6 +57,27 @@
     listener_.close();
 }
 
+void ClientSide::allow(int most_descriptors) {
+    most_descriptors_ = most_descriptors;
+    farewell_.hold(static_cast<size_t>(std::max(1, most_descriptors / silent_part)));
+}
+
+// Whoever has been silent for longest goes first, a prober last.
+bool ClientSide::cut_silent(Span at_least) {
+    auto it =
+        std::find_if(greeting_.begin(), greeting_.end(), [this](CallId id) { return !conns_.at(id).pinged; });
+    if (it == greeting_.end()) it = greeting_.begin();
+    if (it == greeting_.end() || Clock::now() - conns_.at(*it).since < at_least) return false;
+    counters_.add(Count::clients_cut);
+    answer(*it, busy);
+    return true;
+}
+
+void ClientSide::make_room(int descriptors) {
+    while (Fd::held() + descriptors > most_descriptors_)
+        if (!farewell_.shorten() && !cut_silent({})) return;
+}
+
 void ClientSide::accept_some() {
     for (int k = 0; k < accepts_at_once; ++k) {
         Fd fd(accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
@@ -65,6 +93,10 @@
             return;
         }
         counters_.add(Count::conns_taken_in);
+        // Each had the time to speak, as long as there are descriptors for that.
+        if (greeting_.size() >= static_cast<size_t>(std::max(1, most_descriptors_ / silent_part)))
+            cut_silent(shortest_greeting);
+        make_room(last_descriptors);
         if (Fd::held() + last_descriptors > most_descriptors_) {
             turn_away(std::move(fd));
             continue;
@@ -74,6 +106,7 @@
         Client& client = conns_[id];
         client.conn.reset(new LineConn(loop_, std::move(fd), *this, id));
         client.since = Clock::now();
+        client.place = greeting_.insert(greeting_.end(), id);
         client.conn->start(false);
     }
 }
@@ -93,6 +126,7 @@
 void ClientSide::bytes_came(LineConn& conn, std::string_view bytes, bool whole) {
     const CallId id = conn.id();
     Client& client = conns_.at(id);
+    if (client.stage == Stage::waiting) return events_->client_hasty(id);
     if (client.stage == Stage::served) {
         counters_.add(whole ? Count::client_lines : Count::long_lines);
         return events_->client_bytes(id, bytes);
@@ -101,15 +135,20 @@
     if (whole && text == "PING") {
         counters_.add(Count::pings_answered);
         client.since = Clock::now();
-        return conn.send("PONG\r\n");
+        client.pinged = true;
+        greeting_.splice(greeting_.end(), greeting_, client.place);
+    }
+    if (whole && (text == "PING" || text == "STATS")) {
+        conn.send(text == "PING" ? "PONG\r\n" : "NO\r\n");
+        if (conn.unsent() > much_unsent) end(id, How::broke);  // it asks and asks, and does not read
+        return;
     }
-    if (whole && text == "STATS") return conn.send("NO\r\n");
-    if (!whole) {
+    if (!whole || conn.behind() > 0) {  // too long, or more than the one line after which a client waits
         counters_.add(Count::malformed_client_lines);
         return answer(id, failed);
     }
     client.stage = Stage::waiting;
-    conn.keep_lines(true);  // what comes before the answer is for the server that it will have
+    greeting_.erase(client.place);
     events_->call_opened(id, bytes);
 }
 
@@ -139,7 +178,6 @@
     const auto it = conns_.find(id);
     if (it == conns_.end()) return counters_.add(Count::late_events);
     it->second.stage = Stage::served;
-    it->second.conn->keep_lines(false);
 }
 
 void ClientSide::answer(CallId id, std::string_view line) {
@@ -159,6 +197,7 @@
 
 void ClientSide::let_go(CallId id) {
     const auto it = conns_.find(id);
+    if (it->second.stage == Stage::greeting) greeting_.erase(it->second.place);
     farewell_.take(std::move(it->second.conn));
     conns_.erase(it);
 }
@@ -173,14 +212,18 @@
     return it == conns_.end() ? 0 : it->second.conn->unsent();
 }
 
-// A connection that never says what it wants holds a descriptor for nothing.
-void ClientSide::look_for_idle(Instant now) {
-    const bool scarce = Fd::held() + 2 * last_descriptors > most_descriptors_;
-    const Span longest = scarce ? short_greeting : longest_greeting;
-    std::vector<CallId> idle;
-    for (const auto& [id, client] : conns_)
-        if (client.stage == Stage::greeting && now - client.since > longest) idle.push_back(id);
-    for (const CallId id : idle) end(id, How::finished);
+// A connection that does not say what it wants, or stops in the middle of it, holds a descriptor for nothing.
+void ClientSide::look_for_silent(Instant now) {
+    std::vector<CallId> silent;
+    for (const CallId id : greeting_) {
+        const Client& client = conns_.at(id);
+        if (now - client.since > (client.pinged ? longest_after_ping : longest_greeting))
+            silent.push_back(id);
+    }
+    for (const CallId id : silent) {
+        counters_.add(Count::clients_silent);
+        answer(id, failed);
+    }
 }
 
 }  // namespace headrouter
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <ev.h>
 
+#include <list>
 #include <memory>
 #include <unordered_map>
 
@@ -18,7 +19,8 @@
     void report_to(ClientEvents& events) { events_ = &events; }
     bool listen(const Address&, std::string& fault);
     void stop_listening();
-    void allow(int most_descriptors) { most_descriptors_ = most_descriptors; }
+    void allow(int most_descriptors);
+    void make_room(int descriptors);  // at the cost of those that say nothing, or have their answer
 
     void pass(CallId, std::string_view bytes) override;
     void serve(CallId) override;
@@ -26,7 +28,7 @@
     void end(CallId, How) override;
     void hold_back(CallId, bool) override;
     size_t unsent(CallId) const override;
-    void look_for_idle(Instant now);
+    void look_for_silent(Instant now);
     size_t size() const { return conns_.size(); }
 
    private:
@@ -35,9 +37,12 @@
         std::unique_ptr<LineConn> conn;
         Stage stage = Stage::greeting;
         Instant since;
+        bool pinged = false;
+        std::list<CallId>::iterator place;  // among those that have not said yet what they want
     };
 
     void accept_some();
+    bool cut_silent(Span at_least);
     void turn_away(Fd);
     void bytes_came(LineConn&, std::string_view, bool whole) override;
     void conn_ended(LineConn&, How) override;
@@ -53,6 +58,7 @@
     Fd listener_, spare_;
     ev_io accept_{};
     std::unordered_map<CallId, Client> conns_;
+    std::list<CallId> greeting_;  // the one that has been silent for longest first
     CallId last_id_ = 0;
 };
 
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -10,8 +10,9 @@
 constexpr Span answer_margin = millis(10);
 // A leg whose end did not bring an answer by then: answered without the Brain, whatever went wrong.
 constexpr Span answer_overdue = millis(15);
-constexpr Span inherited_pause = millis(200), inherited_wait = seconds(39);
+constexpr Span inherited_pause = millis(200), inherited_wait = seconds(39), inherited_late = seconds(2);
 constexpr Span longest_half_line = seconds(0.5);
+constexpr double shortage_part = 0.2;  // of the longest advice: calls end all the time and leave room
 constexpr std::string_view failed = "ERR\r\n", moved = "MOVE\r\n";
 
 std::string busy(Span stay_away) {
@@ -40,6 +41,7 @@
       clock_(std::move(clock)),
       counters_(counters),
       log_(log),
+      born_(clock_.now()),
       brain_(told_.deployment, seed, *this, clock_.now()) {}
 
 Exchange::Flow* Exchange::find(CallId id) {
@@ -47,21 +49,34 @@
     return it == flows_.end() ? nullptr : &it->second;
 }
 
+bool Exchange::forget(CallId id) {
+    const auto it = flows_.find(id);
+    if (it == flows_.end()) return false;
+    open_ids_.erase(it->second.opening.id);
+    flows_.erase(it);
+    return true;
+}
+
 // ---- from the clients ----
 
 void Exchange::call_opened(CallId id, std::string_view line) {
     std::string fault;
     std::optional<Opening> opening = read_opening(line, told_, fault);
+    if (opening && open_ids_.count(opening->id)) {
+        // Servers know the id too and turn the line away, each of them, and would all be distrusted for it.
+        counters_.add(Count::ids_open_already);
+        fault = "its id is that of an open call";
+        opening.reset();
+    }
     if (!opening) {
         counters_.add(Count::malformed_client_lines);
         log_.debug() << "call " << id << ": " << fault << ": " << without_end(line);
         return clients_.answer(id, failed);
     }
-    log_.debug() << "call " << id << ": " << without_end(line);
     Count short_of{};
     if (opening->at.empty() && !clock_.has_room(short_of)) {
         counters_.add(short_of);
-        return clients_.answer(id, busy(told_.deployment.max_advice));
+        return clients_.answer(id, busy(told_.deployment.max_advice * shortage_part));
     }
     const Instant now = clock_.now();
     if (leaving_from_) {  // a place here would last a second or two and cost the client a move
@@ -71,11 +86,13 @@
     }
     Flow& flow = flows_[id];
     flow.opening = std::move(*opening);
+    open_ids_.insert(flow.opening.id);
     Call& call = flow.opening.call;
     call.id = id;
     if (!flow.opening.at.empty()) {
         flow.inherited = true;
-        call.guard = now + std::max(flow.opening.wait, inherited_wait);
+        // What stood before this process comes when it starts; nobody else is left waiting that long.
+        call.guard = now + (now - born_ < inherited_wait ? inherited_wait : inherited_late);
         return call_standing_server(id, flow);
     }
     counters_.add(Count::calls_taken_in);
@@ -121,13 +138,25 @@
     const auto it = flows_.find(id);
     if (it == flows_.end()) return counters_.add(Count::late_events);
     const bool known = it->second.up || !it->second.inherited;
-    flows_.erase(it);
+    forget(id);
     counters_.add(Count::calls_left_by_client);
     servers_.end(id, how);
     if (known) brain_.call_gone(clock_.now(), id);
     act();
 }
 
+// A client waits for its answer. One that does not is no client of ours, and its lines are for no server.
+void Exchange::client_hasty(CallId id) {
+    const Flow* flow = find(id);
+    if (!flow || flow->up) return counters_.add(Count::late_events);
+    const bool known = !flow->inherited;
+    counters_.add(Count::malformed_client_lines);
+    servers_.end(id, How::finished);
+    if (known) brain_.call_gone(clock_.now(), id);
+    do_answer(id, Count::calls_released, failed);
+    act();
+}
+
 // ---- from the servers ----
 
 bool Exchange::may_send(CallId id) {
@@ -195,7 +224,7 @@
                  << took.ns / 1'000'000 << " ms";
     if (final) {
         const bool stood = flow->up, mid_line = flow->mid_line;
-        flows_.erase(id);
+        forget(id);
         if (!stood)
             clients_.answer(id, end.answer);
         else if (end.silent && !mid_line)
@@ -244,7 +273,7 @@
         do_answer(id, Count::calls_released, failed);
     }
     for (const CallId id : stuck) {  // its server stopped in the middle of a line
-        flows_.erase(id);
+        forget(id);
         servers_.end(id, How::finished);
         clients_.end(id, How::finished);
     }
@@ -335,7 +364,7 @@
 }
 
 void Exchange::do_answer(CallId id, Count as, std::string_view line) {
-    if (flows_.erase(id) == 0) return counters_.add(Count::late_events);
+    if (!forget(id)) return counters_.add(Count::late_events);
     counters_.add(as);
     clients_.answer(id, line);
 }
@@ -348,7 +377,7 @@
         flow->move_due = true;
         return;
     }
-    flows_.erase(id);
+    forget(id);
     counters_.add(Count::calls_moved);
     servers_.end(id, How::finished);
     clients_.answer(id, moved);
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "brain.h"
 #include "net/clock.h"
@@ -29,6 +30,7 @@
     void call_opened(CallId, std::string_view line) override;
     void client_bytes(CallId, std::string_view bytes) override;
     void client_ended(CallId, How) override;
+    void client_hasty(CallId) override;
     void client_drained(CallId) override;
     bool may_send(CallId) override;
     void leg_up(CallId, std::string_view line) override;
@@ -78,6 +80,7 @@
     void call_standing_server(CallId, Flow&);
     void leave(Instant now);
     Flow* find(CallId);
+    bool forget(CallId);
 
     Told told_;
     ClientPort& clients_;
@@ -87,6 +90,8 @@
     Log& log_;
     Roster roster_;
     std::unordered_map<CallId, Flow> flows_;
+    std::unordered_set<std::string> open_ids_;
+    Instant born_;
     std::deque<Due> due_;
     bool acting_ = false;
     std::optional<Instant> leaving_from_, leaving_until_;
--- a/src/net/line_conn.cpp
+++ b/src/net/line_conn.cpp
@@ -7,6 +7,7 @@
 namespace headrouter {
 
 size_t LineConn::all_buffered_ = 0;
+constexpr size_t most_dropped = 1 << 20;
 
 LineConn::LineConn(struct ev_loop* loop, Fd fd, Owner& owner, uint64_t id)
     : loop_(loop), fd_(std::move(fd)), owner_(&owner), id_(id) {
@@ -34,9 +35,7 @@
 void LineConn::watch() {
     ev_io_stop(loop_, &io_);
     if (closed()) return;
-    // A full kept buffer stops the reading too: the rest waits with the kernel and holds back the sender.
-    const bool full = kept_ && in_.size() >= longest_line;
-    const bool reads = !connecting_ && !read_to_end_ && (finishing_ || (!paused_ && !full));
+    const bool reads = !connecting_ && !read_to_end_ && (finishing_ || !paused_);
     const int events = (reads ? EV_READ : 0) | (connecting_ || unsent() > 0 ? EV_WRITE : 0);
     ev_io_set(&io_, fd_.get(), events);
     if (events) ev_io_start(loop_, &io_);
@@ -50,12 +49,6 @@
     if (!closed()) watch();
 }
 
-void LineConn::keep_lines(bool on) {
-    kept_ = on;
-    if (!on) deliver();
-    if (!closed()) watch();
-}
-
 void LineConn::pause_reading(bool on) {
     if (paused_ == on) return;
     paused_ = on;
@@ -133,10 +126,10 @@
 
 void LineConn::read_some() {
     char bytes[16 * 1024];
-    // One read an event: a busy peer does not keep the others waiting.
-    const size_t room = kept_ ? longest_line - std::min(longest_line, in_.size()) : sizeof bytes;
-    if (room == 0) return;
-    const ssize_t n = recv(fd_.get(), bytes, room, 0);
+    // One read an event: a busy peer does not keep the others waiting. What nobody wants any more is dropped
+    // by the kernel without a copy, so that 60 MB on the way to an answer long given cost next to nothing.
+    const ssize_t n = finishing_ ? recv(fd_.get(), nullptr, most_dropped, MSG_TRUNC)
+                                 : recv(fd_.get(), bytes, sizeof bytes, 0);
     if (n < 0 && (errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOMEM)) return;
     if (n > 0) {
         if (finishing_) return;
@@ -150,7 +143,7 @@
     }
     if (n < 0) return end(How::broke);
     read_to_end_ = true;
-    if (!kept_ && !in_.empty() && owner_) {
+    if (!in_.empty() && owner_) {
         const std::string rest = std::move(in_);
         in_.clear();
         owner_->bytes_came(*this, rest, false);
@@ -162,11 +155,12 @@
     size_t from = 0;
     const std::string batch = std::move(in_);
     in_.clear();
-    while (!kept_ && !closed() && owner_ && from < batch.size()) {
+    while (!closed() && owner_ && from < batch.size()) {
         const size_t at = batch.find('\n', from);
         const bool whole = at != std::string::npos;
         if (!whole && batch.size() - from < longest_line) break;
         const size_t to = whole ? at + 1 : batch.size();
+        behind_ = batch.size() - to;
         owner_->bytes_came(*this, std::string_view(batch).substr(from, to - from), whole);
         from = to;
     }
@@ -176,16 +170,16 @@
 
 // ---- those that leave ----
 
-constexpr double longest_farewell = 2;
+// Beyond the bound only those are cut that had the time to read their answer.
+constexpr double longest_farewell = 2, shortest_farewell = 0.1;
 
 Farewell::Farewell(struct ev_loop* loop) : loop_(loop) {
     ev_timer_init(
-        &timer_, [](struct ev_loop*, ev_timer* w, int) { static_cast<Farewell*>(w->data)->look(false); }, 0.2,
+        &timer_, [](struct ev_loop*, ev_timer* w, int) { static_cast<Farewell*>(w->data)->look(); }, 0.2,
         0.2);
     timer_.data = this;
-    ev_prepare_init(&before_wait_, [](struct ev_loop*, ev_prepare* w, int) {
-        static_cast<Farewell*>(w->data)->look(false);
-    });
+    ev_prepare_init(&before_wait_,
+                    [](struct ev_loop*, ev_prepare* w, int) { static_cast<Farewell*>(w->data)->look(); });
     before_wait_.data = this;
     ev_timer_start(loop_, &timer_);
     ev_prepare_start(loop_, &before_wait_);
@@ -199,19 +193,23 @@
 }
 
 void Farewell::take(std::unique_ptr<LineConn> conn) {
-    if (conn) leaving_.push_back({std::move(conn), ev_now(loop_) + longest_farewell});
+    if (conn) leaving_.push_back({std::move(conn), ev_now(loop_)});
 }
 
-void Farewell::look(bool) {
+void Farewell::look() {
+    size_t left = leaving_.size();
     leaving_.remove_if([&](const Leaving& l) {
-        if (!l.conn->closed() && ev_now(loop_) >= l.until) l.conn->abort();
+        const double longest = most_ > 0 && left > most_ ? shortest_farewell : longest_farewell;
+        if (!l.conn->closed() && ev_now(loop_) - l.since >= longest) l.conn->abort();
+        left -= l.conn->closed();
         return l.conn->closed();
     });
 }
 
-void Farewell::shorten() {
+bool Farewell::shorten() {
     for (Leaving& l : leaving_)
-        if (!l.conn->closed()) return l.conn->abort();
+        if (!l.conn->closed()) return l.conn->abort(), true;
+    return false;
 }
 
 }  // namespace headrouter
--- a/src/net/line_conn.h
+++ b/src/net/line_conn.h
@@ -40,11 +40,11 @@
     void send(std::string_view);
     size_t unsent() const { return out_.size() - sent_; }
     size_t buffered() const { return in_.size() + unsent(); }
-    void keep_lines(bool);     // what comes in waits here, up to a line's length
     void pause_reading(bool);  // what comes in waits with the kernel
     void finish();             // end sending after the last byte, then read to the end: closing earlier could
                                // wipe out what was just sent
     void abort();
+    size_t behind() const { return behind_; }  // bytes that have come after the line being handed over
     bool closed() const { return !fd_; }
     uint64_t id() const { return id_; }
     static size_t buffered_by_all() { return all_buffered_; }
@@ -64,8 +64,8 @@
     Owner* owner_;
     uint64_t id_;
     std::string in_, out_;
-    size_t sent_ = 0, counted_ = 0;
-    bool connecting_ = false, kept_ = false, paused_ = false, finishing_ = false, ended_sending_ = false;
+    size_t sent_ = 0, counted_ = 0, behind_ = 0;
+    bool connecting_ = false, paused_ = false, finishing_ = false, ended_sending_ = false;
     bool read_to_end_ = false, told_end_ = false;
     static size_t all_buffered_;
 };
@@ -76,20 +76,22 @@
    public:
     explicit Farewell(struct ev_loop*);
     ~Farewell();
+    void hold(size_t most) { most_ = most; }  // beyond, the oldest are cut; 0: as many as come
     void take(std::unique_ptr<LineConn>);
-    void shorten();  // cuts the oldest, where descriptors run out
+    bool shorten();  // cuts the oldest, where descriptors run out; false where there is none
     size_t size() const { return leaving_.size(); }
 
    private:
-    void look(bool all_overdue);
+    void look();
     struct Leaving {
         std::unique_ptr<LineConn> conn;
-        ev_tstamp until;
+        ev_tstamp since;
     };
     struct ev_loop* loop_;
     ev_timer timer_{};
     ev_prepare before_wait_{};
     std::list<Leaving> leaving_;
+    size_t most_ = 0;
 };
 
 }  // namespace headrouter
--- a/src/net/opening.cpp
+++ b/src/net/opening.cpp
@@ -18,6 +18,12 @@
     return value;
 }
 
+// As every client sends it. What only looks like an id would be turned away by each server in turn.
+static bool has_form_of_id(std::string_view id) {
+    constexpr size_t digits = 16;
+    return id.size() == digits && id.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 static int place_of(const std::vector<std::string>& names, std::string_view name) {
     const auto it = std::find(names.begin(), names.end(), name);
     return it == names.end() ? -1 : static_cast<int>(it - names.begin());
@@ -33,37 +39,47 @@
     };
     if (line.size() < 2 || line.substr(line.size() - 2) != "\r\n") return bad("it does not end with CRLF");
     const std::string_view text = line.substr(0, line.size() - 2);
-    if (std::any_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }))
-        return bad("it holds control characters");
+    if (std::any_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c >= 0x7f; }))
+        return bad("it holds what is no printed character");
+    // One space between, as a server reads the same bytes and may take two for an empty word.
     std::vector<std::string_view> words;
     for (size_t from = 0; from <= text.size();) {
         const size_t to = std::min(text.find(' ', from), text.size());
-        if (to > from) words.push_back(text.substr(from, to - from));
+        words.push_back(text.substr(from, to - from));
         from = to + 1;
     }
     if (words.size() != 4 || words[0] != "OPEN") return bad("it is not OPEN, an id, a key and a list");
+    if (!has_form_of_id(words[1])) return bad("its id is not 16 digits");
+    if (words[2].empty()) return bad("it has no key");
 
     Opening o;
     o.line = line;
+    o.id = words[1];
     o.call.key = words[2];
-    o.call.type = -1;
+    o.call.type = o.call.tenant = -1;
+    std::vector<std::string_view> named;
     const std::string_view list = words[3];
-    for (size_t from = 0; from < list.size();) {
+    for (size_t from = 0; from <= list.size();) {
         const size_t to = std::min(list.find(',', from), list.size());
         const std::string_view field = list.substr(from, to - from);
         from = to + 1;
         const size_t equals = field.find('=');
-        if (equals == std::string_view::npos) return bad("a field of its list has no value");
+        if (equals == std::string_view::npos || equals == 0 || equals + 1 == field.size())
+            return bad("a field of its list has no name or no value");
         const std::string_view name = field.substr(0, equals), value = field.substr(equals + 1);
+        if (std::find(named.begin(), named.end(), name) != named.end()) return bad("a field stands twice");
+        named.push_back(name);
         if (name == "c") {
             o.call.type = place_of(told.types, value);
-            if (o.call.type < 0) return bad("its traffic type is none of those told at start");
+            if (o.call.type < 0) return bad("its traffic type is none of those told");
         } else if (name == "t") {
-            o.call.tenant = std::max(0, place_of(told.tenants, value));
+            o.call.tenant = place_of(told.tenants, value);
+            if (o.call.tenant < 0 && !told.tenants.empty()) return bad("its tenant is none of those told");
         } else if (name == "g") {
             o.call.group = value;
-        } else if (name == "again") {
-            o.call.again = value == "1";
+        } else if (name == "again" || name == "r") {
+            if (value != "0" && value != "1") return bad("a mark is neither 0 nor 1");
+            if (name == "again") o.call.again = value == "1";
         } else if (name == "at") {
             o.at = value;
         } else if (name == "h") {
@@ -78,12 +94,15 @@
         }
     }
     if (o.call.type < 0) return bad("it names no traffic type");
-    if (o.wait_size == 0) o.wait = told.deployment.types[o.call.type].guard_time;
+    if (o.call.tenant < 0 && !told.tenants.empty()) return bad("it names no tenant");
+    if (o.call.group.empty() && told.deployment.groups) return bad("it names no group");
+    if (o.wait_size == 0) return bad("it does not say how long it waits");
+    o.call.tenant = std::max(0, o.call.tenant);
+    if (o.at.empty()) o.wait = std::min(o.wait, told.deployment.types[o.call.type].guard_time);
     return o;
 }
 
 std::string Opening::line_waiting(Span patience) const {
-    if (wait_size == 0) return line;
     std::string other = line;
     return other.replace(wait_at, wait_size, std::to_string(std::max<int64_t>(1, patience.ns / 1'000'000)));
 }
--- a/src/net/opening.h
+++ b/src/net/opening.h
@@ -11,7 +11,7 @@
 namespace headrouter {
 
 struct Opening {
-    std::string line;
+    std::string line, id;
     size_t wait_at = 0, wait_size = 0;  // where the line says how long its sender waits
     Call call;
     Span wait;
--- a/src/net/ports.h
+++ b/src/net/ports.h
@@ -45,6 +45,7 @@
     virtual void call_opened(CallId, std::string_view line) = 0;
     virtual void client_bytes(CallId, std::string_view bytes) = 0;
     virtual void client_ended(CallId, How) = 0;
+    virtual void client_hasty(CallId) = 0;  // it sent more before it had its answer
     virtual void client_drained(CallId) = 0;
 };
 
--- a/tests/test_exchange.cpp
+++ b/tests/test_exchange.cpp
@@ -37,6 +37,11 @@
     size_t unsent(CallId) const override { return 0; }
 };
 
+static std::string id_of(CallId id) {
+    const std::string digits = std::to_string(id);
+    return std::string(16 - digits.size(), 'f') + digits;
+}
+
 struct Desk {
     FakeClients clients;
     FakeServers servers;
@@ -64,7 +69,7 @@
                            read_news(body, exchange.told(), clock));
     }
     void open(CallId id, const std::string& fields = "c=chat,t=x,d=2000,g=q") {
-        exchange.call_opened(id, "OPEN 9b1f 7f3a " + fields + "\r\n");
+        exchange.call_opened(id, "OPEN " + id_of(id) + " 7f3a " + fields + "\r\n");
     }
     void stand(CallId id) {
         open(id);
@@ -77,7 +82,8 @@
 static const Case a_call_is_served{[] {
     Desk d;
     d.open(1);
-    assert(d.servers.done == Said{"OPEN 9b1f 7f3a c=chat,t=x,d=480,g=q\r\n"});  // the module's patience
+    assert(d.servers.done ==
+           Said{"OPEN fffffffffffffff1 7f3a c=chat,t=x,d=480,g=q\r\n"});  // the module's patience
     assert(d.exchange.may_send(1));
     d.exchange.leg_up(1, "UP r\r\n");
     assert((d.clients.done == Said{"pass1UP r\r\n", "serve1"}));
@@ -112,10 +118,10 @@
 
 static const Case what_may_have_run_is_not_asked_for_again{[] {
     Desk d;
-    d.open(1, "c=pay,t=x,d=2000");
+    d.open(1, "c=pay,t=x,d=2000,g=q");
     d.exchange.leg_over(1, {Ending::reset, How::broke, false, {}});
     assert(d.servers.done.size() == 1 && d.clients.done == Said{"answer1ERR\r\n"});
-    d.open(2, "c=pay,t=x,d=2000");
+    d.open(2, "c=pay,t=x,d=2000,g=q");
     d.exchange.begin_leaving(seconds(1), seconds(2));
     d.now = d.now + seconds(2);
     d.exchange.look_after();
@@ -218,15 +224,35 @@
 
 static const Case what_cannot_be_taken_is_answered{[] {
     Desk d;
-    for (const char* line : {"", "\r\n", "OPEN\r\n", "OPEN a b c=chat,d=5\n", "OPEN a b c=none,d=5\r\n",
-                             "OPEN a b c=chat,d=-5\r\n", "OPEN a b c\r\n", "OPEN a b c=chat,d=5 more\r\n",
-                             "OPEN a \x01 c=chat,d=5\r\n", "HELO a b c=chat,d=5\r\n", "OPEN a b t=x,d=5\r\n"})
-        d.exchange.call_opened(1, line);
-    assert(d.clients.done.size() == 11 && d.counters[Count::malformed_client_lines] == 11);
+    d.stand(7);
+    const std::string good = "OPEN 0123456789abcdef 7f3a ", list = "c=chat,t=x,d=5,g=q";
+    std::vector<std::string> bad{"", "\r\n", "OPEN\r\n", good + list + "\n", good + list + " more\r\n"};
+    for (const char* start :
+         {"OPEN  7f3a ", "OPEN 7f3a ", "OPEN 0123456789ABCDEF 7f3a ", "OPEN 0123456789abcde 7f3a ",
+          "OPEN 0123456789abcdef0 7f3a ", "OPEN 0123456789abcdef  7f3a ", "OPEN 0123456789abcdef  ",
+          "HELO 0123456789abcdef 7f3a ", "OPEN fffffffffffffff7 7f3a ", "OPEN 0123456789abcdef \x01 ",
+          "OPEN 0123456789abcdef \xc3\xa4 ", " OPEN 0123456789abcdef 7f3a "})
+        bad.push_back(start + list + "\r\n");
+    for (const char* fields :
+         {"c=none,t=x,d=5,g=q", "c=,t=x,d=5,g=q", "t=x,d=5,g=q", "c=chat,t=z,d=5,g=q", "c=chat,d=5,g=q",
+          "c=chat,t=x,g=q", "c=chat,t=x,d=5", "c=chat,t=x,d=-5,g=q", "c=chat,t=x,d=soon,g=q",
+          "c=chat,t=x,d=,g=q", "c=chat,t=x,d=5x,g=q", "c=chat,t=x,d=99999999999999999999999,g=q",
+          "c=chat,c=pay,t=x,d=5,g=q", "c=chat,t=x,d=5,g=q,", "c=chat,,t=x,d=5,g=q", "c=chat,t=x,d=5,g=q,=1",
+          "c=chat,t=x,d=5,g=q,again=yes", "c=chat,t=x,d=5,g=q,u=1,u=1", "c"})
+        bad.push_back(good + fields + "\r\n");
+    for (const std::string& line : bad) d.exchange.call_opened(1, line);
+    assert(d.clients.done.size() == bad.size() && d.counters[Count::malformed_client_lines] == bad.size());
     for (const std::string& said : d.clients.done) assert(said == "answer1ERR\r\n");
+    assert(d.counters[Count::ids_open_already] == 1 && d.servers.done.empty());
+    d.exchange.client_ended(7, How::finished), d.servers.done.clear();
+    d.open(7);  // its id is free again
+    assert(d.servers.done.size() == 1);
+    d.exchange.client_hasty(7);
+    assert(d.clients.done.back() == "answer7ERR\r\n" && d.servers.done.back() == "end");
+    d.servers.done.clear();
     d.room = false;
     d.open(2);
-    assert(d.clients.done.back() == "answer2BUSY 1500\r\n" && d.counters[Count::refused_for_memory] == 1);
+    assert(d.clients.done.back() == "answer2BUSY 300\r\n" && d.counters[Count::refused_for_memory] == 1);
     assert(d.servers.done.empty() && d.exchange.all_gone());
 }};
 
--- a/tests/test_sockets.cpp
+++ b/tests/test_sockets.cpp
@@ -77,6 +77,7 @@
     Boot boot;
     std::unique_ptr<Balancer> balancer;
     Peer discovery;
+    uint64_t last_id = 1'000'000'000'000'000;
 
     explicit World(int descriptors = 1024, const std::string& place = "") {
         Listener free;
@@ -110,14 +111,17 @@
     bool ends(Peer& p) {
         return until([&] { return p.read(), p.ended || p.broke; });
     }
+    std::string opening(const std::string& fields) {  // each with an id of its own
+        return "OPEN " + std::to_string(++last_id) + " 2b " + fields + "\r\n";
+    }
     Peer client(const std::string& fields = "c=chat,d=900") {
         Peer p = dial(boot.listen);
-        p.write("OPEN 1a 2b " + fields + "\r\n");
+        p.write(opening(fields));
         return p;
     }
     Peer taken() {  // the connection that the balancer makes for a client
         Peer s = next(server);
-        assert(says(s, "OPEN 1a 2b c=chat,d=") && s.got.find("d=900") == std::string::npos);
+        assert(says(s, " 2b c=chat,d=") && s.got.find("d=900") == std::string::npos);
         s.got.clear();
         return s;
     }
@@ -163,17 +167,63 @@
     assert(w.ends(c3) && c3.broke);
 }};
 
-// Closing with unread input resets the connection and can wipe out the answer.
+// Closing with unread input resets the connection and can wipe out the answer; nothing of it may be kept
+// either.
 static const Case an_answer_survives_what_was_not_read{[] {
+    World w;
+    Peer c = dial(w.boot.listen);
+    const std::string much(1 << 20, 'y');
+    size_t sent = 0;
+    assert(w.until([&] {
+        const ssize_t n = ::send(c.fd.get(), much.data(), much.size(), MSG_NOSIGNAL);
+        sent += n > 0 ? size_t(n) : 0;
+        assert(LineConn::buffered_by_all() < (64 << 10));
+        return sent > (size_t(60) << 20);
+    }));
+    assert(w.says(c, "ERR\r\n") && w.ends(c) && c.ended && w.count(Count::legs_sent) == 0);
+}};
+
+static const Case a_client_that_does_not_wait_for_its_answer_gets_an_error{[] {
+    World w;
+    const std::string two = w.opening("c=chat,d=900") + w.opening("c=chat,d=900");
+    Peer c = dial(w.boot.listen);
+    c.write(two);
+    assert(w.says(c, "ERR\r\n") && w.ends(c) && c.ended && w.count(Count::legs_sent) == 0);
+    Peer d = w.client(), s = w.taken();
+    d.write("more\r\n");
+    assert(w.says(d, "ERR\r\n") && w.ends(d) && d.ended && w.ends(s));
+    Peer asks = dial(w.boot.listen);  // and reads nothing of what it is told
+    std::string pings;
+    for (int k = 0; k < 4000; ++k) pings += "PING\r\n";
+    assert(w.until([&] {
+        asks.write(pings);
+        assert(LineConn::buffered_by_all() < (64 << 10));
+        return ::send(asks.fd.get(), "PING\r\n", 6, MSG_NOSIGNAL) < 0 && errno != EAGAIN;
+    }));
+}};
+
+// Their descriptors are those that usual clients need.
+static const Case silent_clients_are_told_and_leave_room{[] {
+    World w(Fd::held() + 240);
+    std::vector<Peer> silent;
+    for (int k = 0; k < 180; ++k) {
+        silent.push_back(dial(w.boot.listen));
+        if (k % 2) silent.back().write("OPEN 0123456789abcd");
+    }
+    Peer c = w.client(), s = w.taken();
+    s.write("UP r\r\n");
+    assert(w.says(c, "UP r\r\n"));
+    const Instant begun = Clock::now();
+    for (Peer& p : silent) assert(w.ends(p) && p.ended && (p.got == "ERR\r\n" || p.got == "BUSY\r\n"));
+    assert(Clock::now() - begun < seconds(2) && w.count(Count::calls_rejected) == 0);
+    assert(w.count(Count::clients_silent) > 0 && w.count(Count::clients_cut) > 0);
+}};
+
+static const Case the_end_of_a_client_that_waits_is_noticed{[] {
     World w;
     Peer c = w.client(), s = w.taken();
-    c.write(std::string(20000, 'y'));
-    s.write("BUSY\r\n");
-    Peer s2 = w.taken();
-    s2.write("BUSY\r\n");
-    assert(w.says(c, "BUSY\r\n"));
-    c.write("more\r\n");
-    assert(w.ends(c) && c.ended && w.count(Count::legs_full) == 2);
+    c.fin();
+    assert(w.ends(s) && w.count(Count::calls_left_by_client) == 1 && w.count(Count::legs_timed_out) == 0);
 }};
 
 static const Case how_a_leg_ends_tells_whether_it_ran{[] {
@@ -332,7 +382,7 @@
     w.balancer->reload(now);
     Peer talk = w.client("c=talk,d=900");
     Peer placed = w.next(w.server);
-    assert(w.says(placed, "OPEN 1a 2b c=talk,d="));
+    assert(w.says(placed, " 2b c=talk,d="));
     now.descriptors = Fd::held() + 4;
     w.balancer->reload(now);
     Peer late = w.client();
