Probers that ask once and stay give way like silent clients

Now the one silent for longest goes, prober or not, and a prober's connection ends 5 s after its last PING. Test: probers that stay leave room.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -19,8 +19,9 @@
 constexpr int accepts_at_once = 16;
 // From here on a connection is told BUSY right away; before, the exchange refuses calls but still reads them.
 constexpr int last_descriptors = 24, least_descriptors = 6;
-// A client says what it wants at once; a prober of PINGs may keep its connection for the next one.
-constexpr Span longest_greeting = seconds(1.5), longest_after_ping = seconds(30),
+// A client says what it wants at once; a prober may keep its connection for the next PING, but hundreds of
+// them that ask once and stay would use up what calls need.
+constexpr Span longest_greeting = seconds(1.5), longest_after_ping = seconds(5),
                shortest_greeting = millis(100);
 // Of the descriptors, what those may hold that have not said yet what they want, and those that have their
 // answer and do not end: a usual call needs two, and must find them.
@@ -62,17 +63,19 @@
     farewell_.hold(static_cast<size_t>(std::max(1, most_descriptors / silent_part)));
 }
 
-// Whoever has been silent for longest goes first, a prober last.
+// Whoever has been silent for longest goes first.
 bool ClientSide::cut_silent(Span at_least) {
-    auto it =
-        std::find_if(greeting_.begin(), greeting_.end(), [this](CallId id) { return !conns_.at(id).pinged; });
-    if (it == greeting_.end()) it = greeting_.begin();
-    if (it == greeting_.end() || Clock::now() - conns_.at(*it).since < at_least) return false;
+    if (greeting_.empty() || Clock::now() - conns_.at(greeting_.front()).since < at_least) return false;
     counters_.add(Count::clients_cut);
-    answer(*it, busy);
+    dismiss(greeting_.front(), busy);
     return true;
 }
 
+// A prober has had its answer.
+void ClientSide::dismiss(CallId id, std::string_view word) {
+    conns_.at(id).pinged ? end(id, How::finished) : answer(id, word);
+}
+
 void ClientSide::make_room(int descriptors) {
     while (Fd::held() + descriptors > most_descriptors_)
         if (!farewell_.shorten() && !cut_silent({})) return;
@@ -222,7 +225,7 @@
     }
     for (const CallId id : silent) {
         counters_.add(Count::clients_silent);
-        answer(id, failed);
+        dismiss(id, failed);
     }
 }
 
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -43,6 +43,7 @@
 
     void accept_some();
     bool cut_silent(Span at_least);
+    void dismiss(CallId, std::string_view word);
     void turn_away(Fd);
     void bytes_came(LineConn&, std::string_view, bool whole) override;
     void conn_ended(LineConn&, How) override;
--- a/tests/test_sockets.cpp
+++ b/tests/test_sockets.cpp
@@ -219,6 +219,22 @@
     assert(w.count(Count::clients_silent) > 0 && w.count(Count::clients_cut) > 0);
 }};
 
+static const Case probers_that_stay_leave_room_too{[] {
+    World w(Fd::held() + 400);
+    std::vector<Peer> probers;
+    for (int k = 0; k < 200; ++k) {
+        probers.push_back(dial(w.boot.listen));
+        probers.back().write("PING\r\n");
+        if (k % 10 == 0) w.turn(0.03);
+    }
+    int left = 0;
+    for (Peer& p : probers) {
+        assert(w.says(p, "PONG\r\n"));
+        left += !p.ended;
+    }
+    assert(left < 120 && w.count(Count::clients_cut) > 0);
+}};
+
 static const Case the_end_of_a_client_that_waits_is_noticed{[] {
     World w;
     Peer c = w.client(), s = w.taken();
