--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -79,10 +79,9 @@
         return clients_.answer(id, busy(told_.deployment.max_advice * shortage_part));
     }
     const Instant now = clock_.now();
-    if (leaving_from_) {  // a place here would last a second or two and cost the client a move
+    if (leaving_from_ && now >= *leaving_from_) {  // a place here would last a moment and cost a move
         counters_.add(Count::calls_rejected);
-        const bool advises = told_.deployment.advises;
-        return clients_.answer(id, busy(advises ? std::max(*leaving_from_ - now, millis(1)) : Span{}));
+        return clients_.answer(id, busy({}));
     }
     Flow& flow = flows_[id];
     flow.opening = std::move(*opening);
@@ -284,8 +283,10 @@
 
 // ---- the end of this process ----
 
-void Exchange::begin_leaving(Span arrivals, Span over) {
-    leaving_from_ = clock_.now() + arrivals;
+// Who would be refused or moved early may find nobody else: where balancers restart in turn, the one before
+// is not back yet.
+void Exchange::begin_leaving(Span moves, Span over) {
+    leaving_from_ = clock_.now() + moves;
     leaving_until_ = clock_.now() + over;
     log_.info() << "leaving, with " << flows_.size() << " calls";
 }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -44,8 +44,9 @@
     void told_again(const Told&);  // settings read anew under way
     void timer_rang(uint64_t token);
     void look_after();  // a few times a second: late answers, standing connections not up yet
-    // Until `arrivals` are over clients still come and are refused; then those that stand move, until `over`.
-    void begin_leaving(Span arrivals, Span over);
+    // Calls are taken and served until `moves`; from then on they are refused, and those that stand move,
+    // until `over`.
+    void begin_leaving(Span moves, Span over);
     bool all_gone() const { return flows_.empty(); }
     const Told& told() const { return told_; }
 
