A server quiet on several connections is left by all of them after 0.7 s

Each waited 1.5 s for the answer to its own client's next line, and clients speak every 2 s.

Line at fault: ServerSide::look_after judges each connection alone. Now the legs to one address are looked at together: where nothing at all has come from there for 0.7 s although two wait for an answer, or one does and a new connection did not come up, all are told to move. A server that is only slow still answers some.

Test: two silent connections beside one that is answered are left after 1.5 s, all three of a quiet server after 0.7 s. Answers now stand in the debug log.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -366,6 +366,7 @@
 
 void Exchange::do_answer(CallId id, Count as, std::string_view line) {
     if (!forget(id)) return counters_.add(Count::late_events);
+    log_.debug() << "call " << id << " answered " << without_end(line);
     counters_.add(as);
     clients_.answer(id, line);
 }
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -15,7 +15,12 @@
 namespace {
 // A sound connection answers each line at once, so a few seconds of silence are a server that hangs, is cut
 // off or vanished: TCP itself would notice only after minutes.
-constexpr Span longest_silence = seconds(1.5), longest_look = seconds(0.5);
+constexpr Span longest_silence = seconds(1.5), longest_look = seconds(0.3);
+// Clients speak every few seconds, so the last of a server's connections would be found out long after the
+// first. Several that wait for an answer while nothing at all comes from there tell of the whole server, and
+// sooner: a busy one still answers some.
+constexpr Span longest_quiet = seconds(0.7), shortest_sign = seconds(0.25);
+constexpr int signs_of_quiet = 2;
 
 // The word that a line begins with, and what follows it.
 std::pair<std::string_view, std::string_view> split(std::string_view line) {
@@ -51,6 +56,8 @@
     leg.side = this;
     leg.id = id;
     leg.first_line = std::move(first_line);
+    leg.at.assign(reinterpret_cast<const char*>(&address.bytes), address.size);
+    ++places_[leg.at].legs;
     leg.give_up = Clock::now() + wait;
     ev_timer_init(
         &leg.timer,
@@ -95,6 +102,8 @@
     counters_.add(Count::server_lines);
     if (!whole) counters_.add(Count::long_lines);
     leg->unanswered = Instant{};
+    place_of(*leg).heard = Clock::now();
+    place_of(*leg).unreached = 0;
     const auto [word, rest] = split(bytes);
     if (whole && word == "LOAD") {
         figure_told(*leg, rest);
@@ -160,6 +169,7 @@
 
 void ServerSide::time_out(Leg& leg) {
     const bool never_ran = leg.stage == Stage::connecting || leg.stage == Stage::writing;
+    place_of(leg).unreached += leg.stage == Stage::connecting;
     over(leg.id, {never_ran ? Ending::connect_failed : Ending::timed_out, How::finished, false, {}});
 }
 
@@ -182,6 +192,7 @@
     if (it == legs_.end()) return;
     const std::unique_ptr<Leg> leg = std::move(it->second);
     legs_.erase(it);
+    if (--place_of(*leg).legs == 0) places_.erase(leg->at);
     ev_timer_stop(loop_, &leg->timer);
     if (!leg->conn) return;
     // A first line that is only partly out must not be completed by the farewell: it would run after all.
@@ -205,18 +216,39 @@
     return it == legs_.end() || !it->second->conn ? 0 : it->second->conn->unsent();
 }
 
+// Time in which this process did not run is no silence of a server: what it was sent may still be unread.
+void ServerSide::count_unanswered(Instant now, Span stopped) {
+    for (auto& [at, place] : places_) {
+        place.heard = place.heard + stopped;
+        place.unanswered = 0;
+        place.oldest = now;
+    }
+    for (const auto& [id, leg] : legs_) {
+        if (leg->stage != Stage::standing || leg->unanswered.ns == 0) continue;
+        leg->unanswered = leg->unanswered + stopped;
+        Place& place = place_of(*leg);
+        place.unanswered += now - leg->unanswered > shortest_sign;
+        place.oldest = std::min(place.oldest, leg->unanswered);
+    }
+}
+
+bool ServerSide::is_quiet(Instant now, const Place& place) {
+    return place.unanswered > 0 && place.unanswered + place.unreached >= signs_of_quiet &&
+           now - place.heard > longest_quiet && now - place.oldest > longest_quiet;
+}
+
 void ServerSide::look_after(Instant now) {
     std::vector<CallId> silent;
     std::vector<std::tuple<CallId, NoteSorter::Note, double>> settled;
-    // Time in which this process did not run is no silence of a server: what it was sent may still be unread.
-    const Span stopped = looked_at_.ns == 0 ? Span{} : now - looked_at_;
+    const Span since = looked_at_.ns == 0 ? Span{} : now - looked_at_;
     looked_at_ = now;
+    count_unanswered(now, since > longest_look ? since : Span{});
     for (const auto& [id, leg] : legs_) {
         const NoteSorter::Note note = notes_.settle(now, leg->heard);
         if (note != NoteSorter::Note::unsure) settled.emplace_back(id, note, leg->heard.unsure);
-        if (leg->stage != Stage::standing || leg->unanswered.ns == 0) continue;
-        if (stopped > longest_look) leg->unanswered = leg->unanswered + stopped;
-        if (now - leg->unanswered > longest_silence) silent.push_back(id);
+        if (leg->stage != Stage::standing) continue;
+        const bool waits = leg->unanswered.ns != 0 && now - leg->unanswered > longest_silence;
+        if (waits || is_quiet(now, place_of(*leg))) silent.push_back(id);
     }
     std::sort(settled.begin(), settled.end());
     std::sort(silent.begin(), silent.end());  // the same order every time, whatever the table's is
--- a/src/net/server_side.h
+++ b/src/net/server_side.h
@@ -28,9 +28,16 @@
 
    private:
     enum class Stage { connecting, writing, waiting, standing };
+    struct Place {  // a server's address, as long as there are legs to it
+        int legs = 0;
+        Instant heard;       // when anything came from there last
+        int unreached = 0;   // connections that did not come up since
+        int unanswered = 0;  // at the last look: legs with a line that waits for an answer, the oldest since:
+        Instant oldest;
+    };
     struct Leg {
         std::unique_ptr<LineConn> conn;
-        std::string first_line;
+        std::string first_line, at;
         Stage stage = Stage::connecting;
         Instant give_up;     // answer wanted by then
         Instant unanswered;  // oldest client line that brought nothing back; zero where there is none
@@ -52,6 +59,9 @@
     void set_timer(Leg&, Span);
     void over(CallId, LegEnd);
     Leg* find(CallId);
+    void count_unanswered(Instant now, Span stopped);
+    static bool is_quiet(Instant now, const Place&);
+    Place& place_of(const Leg& leg) { return places_.at(leg.at); }
 
     struct ev_loop* loop_;
     Farewell& farewell_;
@@ -60,6 +70,7 @@
     Instant looked_at_;
     ServerEvents* events_ = nullptr;
     std::unordered_map<CallId, std::unique_ptr<Leg>> legs_;
+    std::unordered_map<std::string, Place> places_;
 };
 
 }  // namespace headrouter
--- a/tests/test_sockets.cpp
+++ b/tests/test_sockets.cpp
@@ -322,6 +322,28 @@
     assert(w.says(c, "MOVE\r\n") && w.ends(c) && c.ended && w.count(Count::servers_silent) == 1);
 }};
 
+// Each alone would be found out 1.5 s after its own client's next line.
+static const Case a_server_that_is_quiet_on_all_its_connections_is_found_out_sooner{[] {
+    World w;
+    auto [c1, s1] = w.standing();
+    auto [c2, s2] = w.standing();
+    auto [c3, s3] = w.standing();
+    const Instant begun = Clock::now();
+    c1.write("a\r\n"), c2.write("b\r\n");
+    for (int k = 0; k < 10; ++k) w.turn(0.1), s3.write("busy, but there\r\n");
+    c1.read(), c2.read();
+    assert(c1.got.empty() && c2.got.empty());
+    for (Peer* c : {&c1, &c2}) assert(w.says(*c, "MOVE\r\n"));  // as each was silent for too long
+    assert(Clock::now() - begun > seconds(1.4));
+    auto [c4, s4] = w.standing();
+    w.turn(0.1);
+    const Instant quiet_from = Clock::now();
+    c3.write("c\r\n"), c4.write("d\r\n");
+    auto [c5, s5] = w.standing();  // heard of while it comes up
+    for (Peer* c : {&c3, &c4, &c5}) assert(w.says(*c, "MOVE\r\n"));
+    assert(Clock::now() - quiet_from < seconds(1.2) && w.count(Count::servers_silent) == 5);
+}};
+
 static const Case leaving_moves_those_who_stand{[] {
     World w;
     auto [c, s] = w.standing();
