Mild steady delays neither count as a slow fleet nor lead to rejects

Ruled out: few descriptors, guard times, skipped servers (no failed leg near the rejects).

Lines at fault: delay_told sets the ceiling to the present load at any told delay, and look() counts every server at its ceiling as slow, so that one or two mild ones of five are "a quarter of the fleet" and place_with_group rejects.

Now a delay under 0.8 of the target that does not grow is mild: it does not count for the slow part, and least_over takes mild servers before it rejects. A delay that grows is judged as before.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,6 +35,7 @@
 // Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
+constexpr double steady = 1.05;  // a delay up to so many times the last one does not grow
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 // Groups: the work that a server has with one, in usual connections; how far over share and by how many
 // connections it may go for one; how much larger than its part a home is.
@@ -230,16 +231,21 @@
     return load + servers_[k].draw * room.load <= share;
 }
 
-// Every server slow already: none, as more would serve nobody.
+// Every server slow already: none, as more would serve nobody. Where messages take long by themselves a
+// server tells of delays that its load has no part in; it comes last, but before a reject (wide, silent
+// days).
 int Brain::least_over(const Room& room, const Draw* draw) const {
     int least = -1;
     double least_over = 0;
-    for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
-        if (!is_open(room, k) || is_slow(room, k)) continue;
-        const Server& s = servers_[k];
-        const double added = draw ? draw->at[k] * s.weight : s.draw;
-        const double over = (load_on(s) + added * room.load) / std::max(share_of(room.fleet, k), 1e-9);
-        if (least < 0 || over < least_over) least = k, least_over = over;
+    for (const bool mild : {false, true}) {
+        for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
+            const Server& s = servers_[k];
+            if (!is_open(room, k) || (is_slow(room, k) && !(mild && s.mild))) continue;
+            const double added = draw ? draw->at[k] * s.weight : s.draw;
+            const double over = (load_on(s) + added * room.load) / std::max(share_of(room.fleet, k), 1e-9);
+            if (least < 0 || over < least_over) least = k, least_over = over;
+        }
+        if (least >= 0) break;
     }
     return least;
 }
@@ -419,7 +425,7 @@
     }
     double heard = used_ + heard_least;
     for (const Share& s : f.unusual) {
-        f.slow += s.open && s.load + (call ? load_of(*call) : 0) > s.ceiling;
+        f.slow += s.open && !servers_[s.server].mild && s.load + (call ? load_of(*call) : 0) > s.ceiling;
         heard += s.ceiling < unbounded && servers_[s.server].standing.empty();
     }
     f.slow_part = f.slow / heard;
@@ -645,6 +651,7 @@
     // more of it and send them there again.
     s.ceiling = std::min(bare_ceiling(now, s), load_on(s));
     s.ceiling_at = now;
+    s.mild = false;
 }
 
 // How long a message takes is work piled up: its growth in a second is what the server was asked beyond what
@@ -654,6 +661,7 @@
     Server& s = servers_[index_.at(id)];
     const double delay = ms / 1000, gap = in_seconds(now - s.slow_at);
     const double slope = s.slow_at.ns > 0 && gap < 2.5 ? (delay - s.delay) / std::max(gap, 0.2) : delay;
+    s.mild = delay < in_seconds(shortest_message_) * slow_from && delay <= s.delay * steady;
     s.slow_at = now;
     s.delay = delay;
     const double load = load_on(s), asked = std::clamp(1 + slope, 0.5, 2.5);
@@ -697,6 +705,7 @@
     const double fits = load * good_use / x;
     if (x > good_use) {
         s.ceiling = std::min(bare_ceiling(now, s), fits);
+        s.mild = false;
         s.ceiling_at = now;
         note_unusual(s);
     }
--- a/src/brain.h
+++ b/src/brain.h
@@ -116,6 +116,7 @@
     double cold_sent = 0;    // load sent since a cold start
     double cold_chance = 0;  // of its first connection
     double delay = 0;        // seconds that a message was last told to take here
+    bool mild = false;       // that was little, and no more than before
     double ceiling = -1;     // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
     double rounding = 0;  // of the ceiling, by chance
--- a/tests/test_placing.cpp
+++ b/tests/test_placing.cpp
@@ -77,6 +77,19 @@
 }};
 
 // Incident i14adcf: with part of the fleet lost, fourteen groups stood on 130 server places.
+// Messages may take a third of their target by themselves: load has no part in such a delay (wide, silent
+// days).
+static const Case mild_delays_that_do_not_grow_lead_to_no_reject{[] {
+    for (const double then : {30.0, 45.0}) {
+        auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+        stand(b, term_start, "a", 1, 20);
+        stand(b, term_start, "b", 100, 20);
+        for (const ServerId s : {"a", "b"}) b.delay_told(term_start, s, 30);
+        for (const ServerId s : {"a", "b"}) b.delay_told(term_start + seconds(1), s, then);
+        b.call_arrived(term_start + seconds(1), call(300, term_start + seconds(1)));
+        assert(then > 30 ? w.rejected.size() == 1 : w.sent.size() == 1);
+    }
+}};
 static const Case a_group_keeps_to_its_holders_and_its_home{[] {
     auto&& [w, b, p] = Rig(fleet(12));
     CallId id = 1000;
