Who leaves first moves its clients early, who leaves after others moves late

Checked: the two balancers get SIGTERM 3.0 s apart, each is listening again after 4.4 s and dealt clients 0.6 s later. What the first moves after 1.5 s comes back (61 to 1,700 ms) when the second takes nothing new any more; what the second moves before 2.0 s finds nobody. No single window serves both.

Now a balancer that took in many calls with again=1 in the last five seconds (two fifths of what stands) is taken for one that leaves after others and moves from 2.0 to 3.0 s; any other from 0.45 to 1.5 s.

Test: both ways of leaving.

--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -11,10 +11,8 @@
 // Kept back for discovery, the listener, the log and clients that are only told BUSY.
 constexpr int descriptors_kept = 32, per_call = 2;
 constexpr size_t buffered_part = 4;  // of the memory, for what waits to be sent
-// Clients go on coming for a moment after the request to leave, and nobody is left alone for longer than the
-// longest guard time, or than this.
-constexpr Span arrivals_over = millis(450), longest_leave = seconds(3), last_words = millis(400);
-constexpr double moves_from = 0.5;  // of that time: what stands is served here for as long as it can be
+// Nobody is left alone for longer than the longest guard time, or than this.
+constexpr Span longest_leave = seconds(3), last_words = millis(400);
 
 // The smaller of what the operators grant and what the kernel will give.
 int descriptors_of(const Boot& boot) {
@@ -175,7 +173,7 @@
     longest = std::min(longest, longest_leave);
     arrivals_end_ = Clock::now() + arrivals_over;
     exit_at_ = Clock::now() + longest + last_words;
-    exchange_.begin_leaving(std::max(arrivals_over, longest * moves_from), longest);
+    exchange_.begin_leaving(longest);
 }
 
 }  // namespace headrouter
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -11,6 +11,9 @@
 // A leg whose end did not bring an answer by then: answered without the Brain, whatever went wrong.
 constexpr Span answer_overdue = millis(15);
 constexpr Span inherited_pause = millis(200), inherited_wait = seconds(39), inherited_late = seconds(2);
+// Parts of the time for leaving: when the moves of a balancer that leaves first end, and when those of one
+// that does not begin; and the part of what stands that came from others lately.
+constexpr double early_until = 0.5, late_from = 0.66, others_part = 0.4;
 constexpr Span longest_half_line = seconds(0.5);
 constexpr double shortage_part = 0.2;  // of the longest advice: calls end all the time and leave room
 constexpr std::string_view failed = "ERR\r\n", moved = "MOVE\r\n";
@@ -95,6 +98,7 @@
         return call_standing_server(id, flow);
     }
     counters_.add(Count::calls_taken_in);
+    came_back_.add(now, call.again);
     call.guard = now + flow.opening.wait - std::min(answer_margin, flow.opening.wait * 0.5);
     const Call given = call;
     brain_.call_arrived(now, given);
@@ -283,12 +287,17 @@
 
 // ---- the end of this process ----
 
-// Who would be refused or moved early may find nobody else: where balancers restart in turn, the one before
-// is not back yet.
-void Exchange::begin_leaving(Span moves, Span over) {
-    leaving_from_ = clock_.now() + moves;
-    leaving_until_ = clock_.now() + over;
-    log_.info() << "leaving, with " << flows_.size() << " calls";
+// Where balancers restart in turn, the one that leaves first must have moved its clients before the next one
+// leaves, and that one must wait until the first is back: moved earlier, its clients would find nobody.
+// Whoever took in many clients a moment ago, whose connections another one gave up, is not the first.
+void Exchange::begin_leaving(Span over) {
+    const Instant now = clock_.now();
+    const double stand = static_cast<double>(flows_.size());
+    const bool first = came_back_.sum(now) < std::max(2.0, stand * others_part);
+    leaving_from_ = now + std::max(arrivals_over, over * (first ? 0.0 : late_from));
+    leaving_until_ = now + std::max(arrivals_over, over * (first ? early_until : 1.0));
+    log_.info() << "leaving, with " << flows_.size() << " calls, "
+                << (first ? "moved first" : "moved last, as others have just left");
 }
 
 // Moves spread evenly over the time that is left: clients that all came again at once would be a storm for
@@ -379,6 +388,7 @@
         flow->move_due = true;
         return;
     }
+    log_.debug() << "call " << id << " moved from " << flow->server;
     forget(id);
     counters_.add(Count::calls_moved);
     servers_.end(id, How::finished);
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -18,6 +18,9 @@
 
 namespace headrouter {
 
+// Clients go on coming for a moment after the request to leave.
+constexpr Span arrivals_over = millis(450);
+
 class Exchange : public ClientEvents, public ServerEvents, private Actions {
    public:
     struct Clockwork {  // what it needs of the world besides the two sides
@@ -44,9 +47,9 @@
     void told_again(const Told&);  // settings read anew under way
     void timer_rang(uint64_t token);
     void look_after();  // a few times a second: late answers, standing connections not up yet
-    // Calls are taken and served until `moves`; from then on they are refused, and those that stand move,
-    // until `over`.
-    void begin_leaving(Span moves, Span over);
+    // Calls are taken and served until the moves begin; from then on they are refused, and those that stand
+    // move, at the latest when `over` has passed.
+    void begin_leaving(Span over);
     bool all_gone() const { return flows_.empty(); }
     const Told& told() const { return told_; }
 
@@ -96,7 +99,8 @@
     std::deque<Due> due_;
     bool acting_ = false;
     std::optional<Instant> leaving_from_, leaving_until_;
-    Brain brain_;  // last: it sets its first timer while it is made
+    BucketRing<5> came_back_{seconds(1)};  // calls whose connections had broken or been moved
+    Brain brain_;                          // last: it sets its first timer while it is made
 };
 
 }  // namespace headrouter
--- a/tests/test_exchange.cpp
+++ b/tests/test_exchange.cpp
@@ -42,6 +42,8 @@
     return std::string(16 - digits.size(), 'f') + digits;
 }
 
+static const std::string usual = "c=chat,t=x,d=2000,g=q";
+
 struct Desk {
     FakeClients clients;
     FakeServers servers;
@@ -68,11 +70,11 @@
         exchange.list_told(complete ? ListKind::complete : ListKind::partial,
                            read_news(body, exchange.told(), clock));
     }
-    void open(CallId id, const std::string& fields = "c=chat,t=x,d=2000,g=q") {
+    void open(CallId id, const std::string& fields = usual) {
         exchange.call_opened(id, "OPEN " + id_of(id) + " 7f3a " + fields + "\r\n");
     }
-    void stand(CallId id) {
-        open(id);
+    void stand(CallId id, const std::string& fields = usual) {
+        open(id, fields);
         exchange.leg_up(id, "UP r\r\n");
         clients.done.clear(), servers.done.clear();
     }
@@ -122,7 +124,7 @@
     d.exchange.leg_over(1, {Ending::reset, How::broke, false, {}});
     assert(d.servers.done.size() == 1 && d.clients.done == Said{"answer1ERR\r\n"});
     d.open(2, "c=pay,t=x,d=2000,g=q");
-    d.exchange.begin_leaving(seconds(1), seconds(2));
+    d.exchange.begin_leaving(seconds(2));
     d.now = d.now + seconds(2);
     d.exchange.look_after();
     assert(d.clients.done.back() == "answer2ERR\r\n");
@@ -155,7 +157,7 @@
     Desk d;
     d.stand(1);
     d.exchange.server_bytes(1, std::string(4096, 'x'), false);
-    d.exchange.begin_leaving(Span{}, Span{});
+    d.exchange.begin_leaving(Span{}), d.now = d.now + millis(450);
     d.exchange.look_after();
     assert(d.clients.done.size() == 1);
     d.exchange.server_bytes(1, "x\r\n", true);
@@ -167,7 +169,7 @@
     Desk d;
     d.stand(1);
     d.exchange.server_bytes(1, "half", false);
-    d.exchange.begin_leaving(Span{}, Span{});
+    d.exchange.begin_leaving(Span{}), d.now = d.now + millis(450);
     d.exchange.look_after();
     d.now = d.now + seconds(1);
     d.exchange.look_after();
@@ -193,21 +195,26 @@
 }};
 
 static const Case leaving_serves_on_before_it_moves_all_bit_by_bit{[] {
-    Desk d;
-    for (CallId id = 1; id <= 20; ++id) d.stand(id);
-    d.exchange.begin_leaving(seconds(1.5), seconds(3));
-    d.stand(21);  // the balancer before this one may not be back yet
-    d.exchange.look_after();
-    assert(d.clients.done.empty());
-    d.now = d.now + seconds(1.5);
-    d.open(99);
-    assert(d.clients.done == Said{"answer99BUSY\r\n"});
-    d.exchange.look_after();
-    const size_t at_first = d.clients.done.size() - 1;
-    assert(at_first >= 1 && at_first <= 4);
-    d.now = d.now + seconds(1.5);
-    d.exchange.look_after();
-    assert(d.exchange.all_gone() && d.counters[Count::calls_moved] == 21);
+    for (const bool others_left : {false, true}) {
+        Desk d;
+        for (CallId id = 1; id <= 20; ++id)
+            d.stand(id, others_left ? "c=chat,t=x,d=2000,g=q,again=1" : usual);
+        d.exchange.begin_leaving(seconds(3));
+        d.stand(21);
+        d.exchange.look_after();
+        assert(d.clients.done.empty());
+        d.now = d.now + seconds(others_left ? 1.9 : 0.5);  // who left before must be back, or not gone yet
+        d.exchange.look_after();
+        assert(d.clients.done.empty() == others_left);
+        d.now = d.now + millis(100);
+        d.open(99);
+        assert(d.clients.done.back() == "answer99BUSY\r\n");
+        d.exchange.look_after();
+        assert(d.counters[Count::calls_moved] >= 1 && d.counters[Count::calls_moved] <= 8);
+        d.now = d.now + seconds(1);
+        d.exchange.look_after();
+        assert(d.exchange.all_gone() && d.counters[Count::calls_moved] == 21);
+    }
 }};
 
 static const Case a_standing_connection_is_called_until_it_is_up{[] {
--- a/tests/test_sockets.cpp
+++ b/tests/test_sockets.cpp
@@ -350,7 +350,8 @@
     w.balancer->begin_leaving();
     Peer late = w.client(), taken = w.taken();
     taken.write("UP r\r\n");
-    assert(w.says(late, "UP r\r\n") && w.says(c, "MOVE\r\n") && w.ends(c) && c.ended && w.ends(s));
+    assert(w.says(late, "UP r\r\n"));
+    assert(w.says(c, "MOVE\r\n") && w.ends(c) && c.ended && w.ends(s));
     assert(w.says(late, "MOVE\r\n"));
 }};
 
