--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -50,7 +50,8 @@
 constexpr double far_cost = 8, least_far = 0.2;
 // Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
 constexpr double heard_least = 1;
-constexpr int slow_fleet = 4;  // one in so many servers slow is much of the fleet
+// Which part of the servers slow is much of the fleet: of a few that a balancer hears of, and of all.
+constexpr double slow_sample = 0.25, slow_fleet = 0.5;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
@@ -190,7 +191,7 @@
     if (call.chosen >= 0) return void(call.chosen = seems_slow(room, call.chosen) ? -1 : call.chosen);
     // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
     // (i14adcf).
-    if (slow_at_home > 0 && room.fleet.slow_part * slow_fleet > 1) return;
+    if (slow_at_home > 0 && room.fleet.much_slow) return;
     for (; at < draw.order.size(); ++at)
         if (has_room(room, draw.order[at], true)) return void(call.chosen = draw.order[at]);
     call.chosen = least_over(room, &draw);
@@ -220,7 +221,7 @@
     const Server& s = servers_[k];
     const bool heard =
         !s.standing.empty() || (s.unusual >= 0 && room.fleet.unusual[s.unusual].ceiling < unbounded);
-    return !heard && room.fleet.slow_part * slow_fleet > 1 && chance_.uniform() < room.fleet.slow_part;
+    return !heard && room.fleet.much_slow && chance_.uniform() < room.fleet.slow_part;
 }
 
 bool Brain::has_room(const Room& room, int k, bool grouped) const {
@@ -429,6 +430,8 @@
         heard += s.ceiling < unbounded && servers_[s.server].standing.empty();
     }
     f.slow_part = f.slow / heard;
+    const double known = std::min(1.0, (heard - heard_least) / std::max(1, f.open));
+    f.much_slow = f.slow_part > slow_sample + (slow_fleet - slow_sample) * known;
     return f;
 }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -172,6 +172,7 @@
         int open = 0, slow = 0;      // servers that may take the call; of these at their ceilings
         int left_out = -1;           // where its last leg failed
         double slow_part = 0;        // of the servers whose messages this balancer hears of
+        bool much_slow = false;
         std::vector<Share> unusual;
     };
     struct Room {
