--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -50,8 +50,10 @@
 constexpr double far_cost = 8, least_far = 0.2;
 // Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
 constexpr double heard_least = 1;
-// Which part of the servers slow is much of the fleet: of a few that a balancer hears of, and of all.
-constexpr double slow_sample = 0.25, slow_fleet = 0.5;
+// How many servers, and which part of those heard of, are much of the fleet when they are slow: one or two of
+// a handful say little about the others.
+constexpr int slow_least = 3;
+constexpr double slow_fleet = 0.25;
 constexpr Span crash_window = seconds(1);
 constexpr Span hold_step = millis(20);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
@@ -430,8 +432,7 @@
         heard += s.ceiling < unbounded && servers_[s.server].standing.empty();
     }
     f.slow_part = f.slow / heard;
-    const double known = std::min(1.0, (heard - heard_least) / std::max(1, f.open));
-    f.much_slow = f.slow_part > slow_sample + (slow_fleet - slow_sample) * known;
+    f.much_slow = f.slow >= slow_least && f.slow_part > slow_fleet;
     return f;
 }
 
