--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -193,6 +193,8 @@
 }
 
 void Exchange::load_told(CallId id, double micros) {
+    if (const Flow* flow = find(id))
+        log_.debug() << "call " << id << " at " << flow->server << ": load " << micros;
     brain_.load_told(clock_.now(), id, micros);
     act();
 }
