--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -122,7 +122,6 @@
 
 Brain::Verdict Brain::place(Instant now, Call& call) {
     const KeyNote* note = call.key.empty() ? nullptr : noted_key(now, call.key);
-    if (note && note->server < 0) note = nullptr;
     if (call.mid_flow && call.legs.empty() && note && note->parked && now - note->at < told_.park &&
         servers_[note->server].listed.condition != Condition::left) {
         call.chosen = note->server;  // the server that still holds it, also while that one drains
@@ -279,8 +278,8 @@
 void Brain::back_place(Instant now, Call& call, const Back& back) {
     const Leg& leg = call.legs[back.leg];
     Server& s = servers_[leg.server];
-    if (back.stood && back.ending != Ending::completed)
-        note_key(now, call, told_.pass_mode && back.ending == Ending::stopped ? leg.server : -1, true);
+    if (back.stood && back.ending == Ending::stopped && told_.pass_mode)
+        note_key(now, call, leg.server, true);
     if (back.ending == Ending::stopped || back.ending == Ending::not_sent) return;
     if (back.stood && back.ending != Ending::completed) return broke(now, s);
     if (leg.sent >= Instant{now.ns / term_time.ns * term_time.ns} && back.ending != Ending::completed)
@@ -541,10 +540,6 @@
 void Brain::call_arrived(Instant now, Call call) {
     const CallId id = call.id;
     if (call.hinted_load) learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
-    // Heavy connections that come back together after a server was lost are spread by what they are known to
-    // need: taken for usual ones they pile up where few stood (r079b18).
-    const KeyNote* note = call.again && call.load < 0 ? noted_key(now, call.key) : nullptr;
-    if (note) call.load = note->load;
     Call& kept = calls_[id] = std::move(call);
     run_chain(now, kept);
 }
@@ -602,9 +597,8 @@
     if (!final) run_chain(now, call);
 }
 
-void Brain::move_call(Instant now, Call& call) {
+void Brain::move_call(Instant, Call& call) {
     const CallId id = call.id;
-    note_key(now, call, -1, false);
     out_.move(id);
     uncount(call);
     forget(id);
@@ -829,7 +823,7 @@
         if (it != keys_.end() && it->second.at == key_age_.front().second) keys_.erase(it);
         key_age_.pop_front();
     }
-    keys_[call.key] = KeyNote{server, now, parked, call.load};
+    keys_[call.key] = KeyNote{server, now, parked};
     key_age_.emplace_back(call.key, now);
 }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -187,10 +187,9 @@
         std::vector<int> order;  // servers by it
     };
     struct KeyNote {
-        int server;  // that failed it; -1 where none did
+        int server;
         Instant at;
         bool parked;  // its connection may still stand there, its packets went elsewhere
-        double load;  // last told, as in a call
     };
     static const std::array<Stage, 4> chain;
 
