--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -40,7 +40,7 @@
 // Groups: the work that a server has with one, in usual connections; how far over share and by how many
 // connections it may go for one; how much larger than its part a home is.
 constexpr double group_work = 4;
-constexpr double group_slack = 1.1, group_room = 1, group_spread = 1.3;
+constexpr double group_slack = 1.25, group_room = 2, group_spread = 1.3;
 // Pairs of connections that a balancer sees before it believes how often two are in one group.
 constexpr double pairs_believed = 40;
 // Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
