--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -222,7 +222,6 @@
                   : flow->up                      ? Count::calls_broken
                                                   : counted_as(end.ending));
     const bool final = flow->up || end.ending == Ending::completed;
-    if (flow->up && end.ending != Ending::completed) came_back_.add(now, -1);
     const int leg = flow->leg;
     const Span took = now - flow->leg_sent;
     log_.debug() << "call " << id << " at " << flow->server << ": leg " << leg << (flow->up ? " stood" : "")
@@ -393,7 +392,6 @@
     }
     log_.debug() << "call " << id << " moved from " << flow->server;
     forget(id);
-    came_back_.add(clock_.now(), -1);
     counters_.add(Count::calls_moved);
     servers_.end(id, How::finished);
     clients_.answer(id, moved);
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -99,10 +99,8 @@
     std::deque<Due> due_;
     bool acting_ = false;
     std::optional<Instant> leaving_from_, leaving_until_;
-    // Calls whose connections had broken or been moved, less the connections that broke or moved here: what
-    // is left came from other balancers.
-    BucketRing<5> came_back_{seconds(1)};
-    Brain brain_;  // last: it sets its first timer while it is made
+    BucketRing<5> came_back_{seconds(1)};  // calls whose connections had broken or been moved
+    Brain brain_;                          // last: it sets its first timer while it is made
 };
 
 }  // namespace headrouter
