--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -668,9 +668,6 @@
     s.mild = delay < in_seconds(shortest_message_) * slow_from && delay <= s.delay * steady;
     s.slow_at = now;
     s.delay = delay;
-    // What is mild keeps the ceiling that it has, which goes on growing: pinned to the load of the moment it
-    // would keep a sound server from taking over what others lose (r067ef1).
-    if (s.mild) return;
     const double load = load_on(s), asked = std::clamp(1 + slope, 0.5, 2.5);
     const double wanted = std::max(least_use, good_use - delay / backlog_time);
     double ceiling = load;
