A mild server keeps seven tenths of its share

Seen by a probe of load, share, ceiling and warm-up at each placing. Ruled out: cold servers sent too much (their warm-up is 1 s there), the budget, the order of groups.

Line at fault: bare_ceiling goes on from what a server held in its slow second, whatever it tells since, and spread() gives the rest to those without a ceiling. Now a server whose delay is mild and does not grow keeps 0.7 of its share.

Test: the ceiling of a mild server while the load grows.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,7 +35,8 @@
 // Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
-constexpr double steady = 1.05;  // a delay up to so many times the last one does not grow
+// A delay up to so many times the last one does not grow, and the part of its share that a server keeps then.
+constexpr double steady = 1.05, mild_least = 0.7;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 // Groups: the work that a server has with one, in usual connections; how far over share and by how many
 // connections it may go for one; how much larger than its part a home is.
@@ -689,7 +690,11 @@
 double Brain::bare_ceiling(Instant now, const Server& s) const {
     if (s.ceiling < 0) return unbounded;
     const double t = in_seconds(now - s.ceiling_at);
-    return t > ceiling_life ? unbounded : s.ceiling + t * ceiling_growth * full_share(s);
+    if (t > ceiling_life) return unbounded;
+    // A sound server must be able to take its part of what others lose: what it was cut to a moment ago, when
+    // it was slow, would leave all of that to the few without a ceiling (r067ef1).
+    const double least = s.mild ? full_share(s) * mild_least : 0;
+    return std::max(least, s.ceiling + t * ceiling_growth * full_share(s));
 }
 
 // Many balancers hold a connection or none each on a server: rounded by chance, their whole connections add
--- a/tests/test_placing.cpp
+++ b/tests/test_placing.cpp
@@ -90,6 +90,20 @@
         assert(then > 30 ? w.rejected.size() == 1 : w.sent.size() == 1);
     }
 }};
+// Cut to what it held when it was slow, a sound server would leave all that others lose to the rest
+// (r067ef1).
+static const Case a_mild_server_keeps_most_of_its_share_when_the_load_grows{[] {
+    auto&& [w, b, p] = Rig({listed("a"), listed("b")});
+    stand(b, term_start, "a", 1, 20);
+    stand(b, term_start, "b", 100, 20);
+    b.delay_told(term_start, "a", 100);
+    b.delay_told(term_start + seconds(1), "a", 600);
+    const Instant then = term_start + seconds(2);
+    stand(b, then, "b", 200, 60);
+    assert(p.ceiling(then, "a") < 15);
+    b.delay_told(then, "a", 12);
+    assert(p.ceiling(then, "a") > 0.6 * p.load("b") * 100 / 160 && p.ceiling(then, "a") < 45);
+}};
 static const Case a_group_keeps_to_its_holders_and_its_home{[] {
     auto&& [w, b, p] = Rig(fleet(12));
     CallId id = 1000;
