Socket tests listen on a host of their own

Sixteen runs at once: one failed, as another process had taken the port between its choice and the child's start. Each process now listens on a loopback host made from its number; sixteen at once pass.

--- a/tests/test_sockets.cpp
+++ b/tests/test_sockets.cpp
@@ -50,6 +50,14 @@
     Peer accept() { return {Fd(::accept4(fd.get(), nullptr, nullptr, SOCK_CLOEXEC)), {}}; }
 };
 
+// Where the balancer listens: its port was free a moment ago, and on a host of this process's own nobody
+// takes it.
+static std::string free_place() {
+    const std::string at = Listener{}.at;
+    const auto host = std::to_string(getpid() >> 8 & 255) + "." + std::to_string(getpid() & 255);
+    return "127.77." + host + at.substr(at.find(':'));
+}
+
 static Peer dial(const std::string& at) { return {connect_to(*Address::from(at)), {}}; }
 
 struct Loop {
@@ -80,9 +88,7 @@
     uint64_t last_id = 1'000'000'000'000'000;
 
     explicit World(int descriptors = 1024, const std::string& place = "") {
-        Listener free;
-        const std::string listen = free.at;
-        free.fd.close();
+        const std::string listen = free_place();
         boot = read_boot(
             R"({"name":"n","listen":")" + listen + R"(","discovery":")" + agent.at +
                 R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" + std::to_string(descriptors) +
@@ -434,9 +440,8 @@
 // environment's.
 static const Case a_hang_up_reads_the_file_again{[] {
     World w;  // for its loop and its listeners only
-    Listener free, old_agent, new_agent;
-    const std::string listen = free.at, path = "reload_test_" + std::to_string(getpid()) + ".json";
-    free.fd.close();
+    Listener old_agent, new_agent;
+    const std::string listen = free_place(), path = "reload_test_" + std::to_string(getpid()) + ".json";
     const auto write_file = [&](const std::string& discovery) {
         std::ofstream(path) << R"({"listen":")" << listen << R"(","discovery":")" << discovery
                             << R"(","seed":"1f","settings":{"discovery":"push","ceilings":{"maxLegs":2},
