--- /dev/null
+++ b/src/fleet/script.cpp
@@ -0,0 +1,117 @@
+#include "fleet/script.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/pcg32.h"
+
+namespace headrouter::fleet {
+
+namespace {
+
+using What = Deed::What;
+constexpr int drain_parts = 10;      // a draining server sends its connections away in so many steps
+constexpr double drain_share = 0.6;  // of a deploy's step; the rest is the restart
+
+std::vector<int> some_of(int all, double part, Pcg32& chance) {
+    std::vector<int> order(all);
+    for (int k = 0; k < all; ++k) order[k] = k;
+    for (int k = all - 1; k > 0; --k)
+        std::swap(order[k], order[static_cast<int>(chance.uniform() * (k + 1))]);
+    order.resize(std::clamp(static_cast<int>(std::lround(all * part)), 1, all));
+    return order;
+}
+
+class Layout {
+   public:
+    Layout(const World& w, uint64_t seed) : w_(w), chance_(seed, 23) {}
+
+    std::vector<Deed> all() {
+        for (const Trouble& t : w_.troubles) lay(t);
+        std::stable_sort(deeds_.begin(), deeds_.end(),
+                         [](const Deed& a, const Deed& b) { return a.at < b.at; });
+        return std::move(deeds_);
+    }
+
+   private:
+    void add(Instant at, What what, int target = -1, double size = 0) {
+        deeds_.push_back({at, what, target, size});
+    }
+
+    // A process that dies and comes back cold under the same id. A death shorter than its notice is seen by
+    // the list as a restart only.
+    void dies(const Trouble& t, int server, What how, Span notice) {
+        const Instant back = t.at + t.lasts;
+        add(t.at, how, server);
+        if (t.lasts > notice) add(t.at + notice, What::list_gone, server);
+        add(back, What::start_cold, server);
+        add(back + w_.add_notice, What::list_serving, server);
+    }
+
+    void drains(Instant at, Span takes, int server, bool comes_back) {
+        add(at, What::drain, server);
+        add(at, What::list_draining, server);
+        for (int k = 1; k <= drain_parts; ++k)
+            add(at + takes * (static_cast<double>(k) / drain_parts), What::move_one_part, server,
+                1.0 / (drain_parts - k + 1));
+        add(at + takes, What::die, server);
+        add(at + takes, What::list_gone, server);
+        if (comes_back) {
+            const Instant back = at + takes * (1 / drain_share);
+            add(back, What::start_cold, server);
+            add(back + w_.add_notice, What::list_serving, server);
+        }
+    }
+
+    void lay(const Trouble& t) {
+        const Instant over = t.at + t.lasts;
+        const auto on_some = [&](What begin, What end, double size, double after) {
+            for (const int s : some_of(w_.servers, t.part, chance_))
+                add(t.at, begin, s, size), add(over, end, s, after);
+        };
+        switch (t.kind) {
+            case TroubleKind::crash:
+                for (const int s : some_of(w_.servers, t.part, chance_))
+                    dies(t, s, What::die, w_.gone_notice);
+                break;
+            case TroubleKind::vanish:
+                for (const int s : some_of(w_.servers, t.part, chance_))
+                    dies(t, s, What::vanish, w_.silent_notice);
+                break;
+            case TroubleKind::hang: on_some(What::hang, What::answer_again, 0, 0); break;
+            case TroubleKind::slow: on_some(What::speed, What::speed, t.size, 1); break;
+            case TroubleKind::errors: on_some(What::errors, What::errors, t.size, 0); break;
+            case TroubleKind::full: on_some(What::full, What::full, 1, 0); break;
+            case TroubleKind::deploy: {
+                const auto order = some_of(w_.servers, t.part, chance_);
+                const Span step = t.lasts * (1.0 / static_cast<double>(order.size()));
+                for (size_t k = 0; k < order.size(); ++k)
+                    drains(t.at + step * static_cast<double>(k), step * drain_share, order[k], true);
+                break;
+            }
+            case TroubleKind::shrink:
+                for (const int s : some_of(w_.servers, t.part, chance_)) drains(t.at, t.lasts, s, false);
+                break;
+            case TroubleKind::burst:
+            case TroubleKind::heavy: break;  // drawn with the sessions
+            case TroubleKind::reconnect: add(t.at, What::clients_drop, -1, t.part); break;
+            case TroubleKind::list_outage: add(t.at, What::list_silent), add(over, What::list_sound); break;
+            case TroubleKind::list_garbled: add(t.at, What::list_garbled), add(over, What::list_sound); break;
+            case TroubleKind::list_back: add(t.at, What::list_back), add(over, What::list_sound); break;
+            case TroubleKind::balancer_crash:
+                for (const int b : some_of(w_.balancers, t.part, chance_))
+                    add(t.at, What::balancer_dies, b), add(over, What::balancer_starts, b);
+                break;
+        }
+    }
+
+    const World& w_;
+    Pcg32 chance_;
+    std::vector<Deed> deeds_;
+};
+
+}  // namespace
+
+std::vector<Deed> script_of(const World& w, uint64_t seed) { return Layout(w, seed).all(); }
+
+}  // namespace headrouter::fleet
--- /dev/null
+++ b/src/fleet/script.h
@@ -0,0 +1,42 @@
+// Troubles laid out as single deeds: which server, balancer or client, when, and what the list says of it
+// after its notice. The same deeds for the model and for the sockets.
+#pragma once
+#include <vector>
+
+#include "fleet/world.h"
+
+namespace headrouter::fleet {
+
+struct Deed {
+    enum class What {
+        die,
+        start_cold,
+        vanish,
+        hang,
+        answer_again,
+        speed,
+        errors,
+        full,
+        drain,
+        move_one_part,
+        list_gone,
+        list_draining,
+        list_serving,  // what discovery is told of a server from then on
+        list_silent,
+        list_garbled,
+        list_back,
+        list_sound,
+        clients_drop,
+        balancer_dies,
+        balancer_starts
+    };
+    Instant at;
+    What what;
+    int target = -1;  // server or balancer, by what is done
+    double size = 0;
+};
+
+// In the order of time; equal times in the order of the troubles.
+std::vector<Deed> script_of(const World&, uint64_t seed);
+
+}  // namespace headrouter::fleet
--- /dev/null
+++ b/src/fleet/session.cpp
@@ -0,0 +1,101 @@
+#include "fleet/session.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace headrouter::fleet {
+
+double exponential(Pcg32& chance, double mean) { return -mean * std::log(chance.uniform()); }
+
+namespace {
+
+// How fast clients come at a moment, over the usual rate, and how much work they bring.
+double times_at(const World& w, Instant at, TroubleKind kind, Pcg32& chance) {
+    double times = 1;
+    for (const Trouble& t : w.troubles)
+        if (t.kind == kind && at >= t.at && at < t.at + t.lasts &&
+            (kind != TroubleKind::heavy || chance.uniform() < t.part))
+            times *= t.size;
+    return times;
+}
+
+Session drawn(const World& w, Pcg32& chance, uint64_t number, Instant at) {
+    const Traffic& traffic = w.traffic;
+    Session s;
+    s.number = number;
+    s.from = at;
+    double all = 0;
+    for (const TypeRow& t : traffic.types) all += t.share;
+    double pick = chance.uniform() * all;
+    while (s.type + 1 < static_cast<int>(traffic.types.size()) && (pick -= traffic.types[s.type].share) > 0)
+        ++s.type;
+    const TypeRow& row = traffic.types[s.type];
+    s.until = at + seconds(exponential(chance, in_seconds(row.hold)));
+    s.tenant = static_cast<int>(chance.uniform() * traffic.tenants);
+    s.zone = static_cast<int>(chance.uniform() * w.zones);
+    s.key = "k" + std::to_string(number);
+    // Few groups are large and many small: the rank falls as one over itself (Zipf's law).
+    if (traffic.groups > 0)
+        s.group = "g" + std::to_string(static_cast<int>(std::pow(traffic.groups, chance.uniform())));
+    s.load = row.load * 1000 * (1 + traffic.load_spread * (2 * chance.uniform() - 1)) *
+             times_at(w, at, TroubleKind::heavy, chance);
+    return s;
+}
+
+}  // namespace
+
+std::vector<Session> draw_sessions(const World& w, uint64_t seed) {
+    Pcg32 chance(seed, 11);
+    double share = 0, load = 0, held = 0;
+    for (const TypeRow& t : w.traffic.types) {
+        share += t.share;
+        held += t.share * in_seconds(t.hold);
+        load += t.share * t.load * 1000 * in_seconds(t.hold);
+    }
+    const double standing = w.traffic.use * capacity_of(w) * held / load;  // by Little's law
+    const double rate = standing * share / held;
+    std::vector<Session> all;
+    const auto first = static_cast<int>(standing + chance.uniform());
+    for (int k = 0; k < first; ++k)
+        all.push_back(drawn(w, chance, 0, Instant{} + w.traffic.ramp * chance.uniform()));
+    // Thinned from the highest rate, so that a burst changes nobody else's draw of time.
+    double highest = 1;
+    for (const Trouble& t : w.troubles)
+        if (t.kind == TroubleKind::burst) highest *= std::max(1.0, t.size);
+    for (Instant at{};;) {
+        at = at + seconds(exponential(chance, 1 / (rate * highest)));
+        if (at >= Instant{} + w.length) break;
+        if (chance.uniform() * highest < times_at(w, at, TroubleKind::burst, chance))
+            all.push_back(drawn(w, chance, 0, at));
+    }
+    std::stable_sort(all.begin(), all.end(),
+                     [](const Session& a, const Session& b) { return a.from < b.from; });
+    for (size_t k = 0; k < all.size(); ++k) {
+        all[k].number = k;
+        all[k].key = "k" + std::to_string(k);
+    }
+    return all;
+}
+
+std::optional<Instant> Patience::in_time(Instant at) const {
+    if (gave_up() || at >= until_) return {};
+    return at;
+}
+
+std::optional<Instant> Patience::after_busy(Instant now, Span advised, Pcg32& chance) {
+    if (advised.ns <= 0) return after_failure(now, chance);
+    ++failed_;
+    return in_time(now + advised);
+}
+
+std::optional<Instant> Patience::after_failure(Instant now, Pcg32& chance) {
+    ++failed_;
+    const double doubled = static_cast<double>(1 << std::min(failed_ - 1, 6));
+    return in_time(now + traffic_->back_off * (doubled * (0.5 + chance.uniform())));
+}
+
+std::optional<Instant> Patience::after_break(Instant now, Pcg32& chance) {
+    return in_time(now + traffic_->return_after * (0.5 + chance.uniform()));
+}
+
+}  // namespace headrouter::fleet
--- /dev/null
+++ b/src/fleet/world.cpp
@@ -0,0 +1,117 @@
+#include "fleet/world.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <sstream>
+#include <utility>
+
+namespace headrouter::fleet {
+
+static constexpr std::array<std::pair<const char*, TroubleKind>, 15> trouble_names{{
+    {"crash", TroubleKind::crash},
+    {"vanish", TroubleKind::vanish},
+    {"hang", TroubleKind::hang},
+    {"slow", TroubleKind::slow},
+    {"errors", TroubleKind::errors},
+    {"full", TroubleKind::full},
+    {"deploy", TroubleKind::deploy},
+    {"shrink", TroubleKind::shrink},
+    {"burst", TroubleKind::burst},
+    {"heavy", TroubleKind::heavy},
+    {"reconnect", TroubleKind::reconnect},
+    {"list_outage", TroubleKind::list_outage},
+    {"list_garbled", TroubleKind::list_garbled},
+    {"list_back", TroubleKind::list_back},
+    {"balancer_crash", TroubleKind::balancer_crash},
+}};
+
+const char* word(TroubleKind kind) {
+    for (const auto& [name, k] : trouble_names)
+        if (k == kind) return name;
+    return "?";
+}
+
+bool trouble_from(const std::string& text, TroubleKind& kind) {
+    for (const auto& [name, k] : trouble_names)
+        if (text == name) return kind = k, true;
+    return false;
+}
+
+std::vector<std::string> trouble_words() {
+    std::vector<std::string> all;
+    for (const auto& entry : trouble_names) all.emplace_back(entry.first);
+    return all;
+}
+
+Deployment deployment_of(const World& w, int balancer) {
+    Deployment d;
+    for (const TypeRow& t : w.traffic.types)
+        d.types.push_back({t.effect, t.scope, t.setup_target, t.guard_time, t.window, t.message_target});
+    d.tenants = w.traffic.tenants;
+    d.max_legs = w.max_legs;
+    d.slot = static_cast<uint64_t>(balancer);
+    d.zone = balancer % w.zones;
+    d.cross_price = w.cross_price;
+    d.groups = w.traffic.groups > 0;
+    d.advises = w.advises;
+    d.max_advice = w.advises ? w.max_advice : Span{};
+    for (const MachineKind& k : w.kinds) d.cold_time = std::max(d.cold_time, k.cold_time);
+    return d;
+}
+
+std::string settings_json(const World& w, int balancer) {
+    const Deployment d = deployment_of(w, balancer);
+    std::ostringstream o;
+    o << R"({"slotNo":)" << balancer << R"(,"az":)" << d.zone
+      << R"(,"discovery":"push","stepNs":0,"ceilings":{"maxLegs":)" << d.max_legs << R"(,"dialTimeoutNs":)"
+      << w.connect_time.ns << R"(,"retryAfter":)" << (d.advises ? "true" : "false")
+      << R"(,"maxRetryAfterNs":)" << d.max_advice.ns << R"(},"invariants":{"coldNs":)" << d.cold_time.ns
+      << R"(},"charges":{"crossZone":)" << w.cross_price << R"(},"domain":{"mode":"proxy","groups":)"
+      << (d.groups ? "true" : "false") << R"(,"tellsDelay":)" << (w.tells_delay ? "true" : "false")
+      << R"(,"messageAimNs":[)";
+    for (size_t k = 0; k < d.types.size(); ++k) o << (k ? "," : "") << d.types[k].message_target.ns;
+    o << R"(]},"failureDomains":[)";
+    for (int z = 0; z < w.zones; ++z) o << (z ? "," : "") << "\"z" << z << '"';
+    o << R"(],"realms":[)";
+    for (int t = 0; t < w.traffic.tenants; ++t) o << (t ? "," : "") << R"({"name":"t)" << t << "\"}";
+    o << R"(],"trafficTypes":[)";
+    constexpr std::array effects{"pure", "token", "side_effect"}, scopes{"all", "zone", "cell"};
+    for (size_t k = 0; k < d.types.size(); ++k) {
+        const TrafficType& t = d.types[k];
+        o << (k ? "," : "") << R"({"name":")" << w.traffic.types[k].name << R"(","effect":")"
+          << effects[static_cast<size_t>(t.effect)] << R"(","keyScope":")"
+          << scopes[static_cast<size_t>(t.scope)] << R"(","setupTargetNs":)" << t.setup_target.ns
+          << R"(,"guardTimeNs":)" << t.guard_time.ns << R"(,"windowNs":)" << t.window.ns << "}";
+    }
+    o << "]}";
+    return o.str();
+}
+
+std::vector<int> kinds_of(const World& w) {
+    double all = 0, passed = 0;
+    for (const MachineKind& k : w.kinds) all += k.share;
+    std::vector<int> kinds;
+    for (size_t k = 0; k < w.kinds.size(); ++k) {
+        passed += w.kinds[k].share;
+        const int upto =
+            k + 1 == w.kinds.size() ? w.servers : static_cast<int>(std::lround(w.servers * passed / all));
+        while (static_cast<int>(kinds.size()) < upto) kinds.push_back(static_cast<int>(k));
+    }
+    return kinds;
+}
+
+double capacity_of(const World& w) {
+    double all = 0;
+    for (const int k : kinds_of(w)) all += w.kinds[k].cores * w.kinds[k].speed * 1e6;
+    return all;
+}
+
+std::string server_name(int server) {
+    char name[24];
+    std::snprintf(name, sizeof name, "s-%04d", server);
+    return name;
+}
+
+}  // namespace headrouter::fleet
--- /dev/null
+++ b/src/fleet/world.h
@@ -0,0 +1,103 @@
+// What an experiment's world holds: machines, traffic, troubles. Plain figures, read from an experiment's
+// file or set by a test; the model in virtual time and the stand-ins on sockets are both built from it. Spans
+// are those of base/time.h; loads are milliseconds of work a second; parts lie between 0 and 1.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "brain.h"
+
+namespace headrouter::fleet {
+
+struct MachineKind {
+    std::string name = "usual";
+    double share = 1;  // of all servers, over the sum of all kinds' shares
+    double cores = 4, speed = 1, weight = 1;
+    double cold_from = 1;      // the part of its capacity with which it starts
+    Span cold_time;            // until it is warm, in a straight line
+    int most_connections = 0;  // 0: as many as come
+    double error_rate = 0;     // of set-ups that are answered ERR
+};
+
+struct TypeRow {
+    std::string name = "chat";
+    double share = 1, revenue = 1;
+    Effect effect = Effect::repeatable;
+    Scope scope = Scope::all;
+    Span setup_target = millis(500), guard_time = seconds(2), window = seconds(5);
+    Span message_target = millis(60), message_every = seconds(2);
+    double load = 8;  // mean of a connection
+    Span hold = seconds(30);
+};
+
+struct Traffic {
+    double use = 0.4;          // of all machines' capacity, warm
+    double load_spread = 0.5;  // of a connection's load round its mean, as a part of it
+    int groups = 0, tenants = 1;
+    double group_load = 0;   // of each group on each server that holds one of it
+    Span ramp = seconds(5);  // in which those that stand at the start come
+    int retries = 3;         // after a failed set-up, in a row
+    Span back_off = millis(100);
+    Span return_after = millis(100);  // of a client that was moved or whose connection broke
+    std::vector<TypeRow> types{TypeRow{}};
+};
+
+enum class TroubleKind {
+    crash,
+    vanish,
+    hang,
+    slow,
+    errors,
+    full,
+    deploy,
+    shrink,
+    burst,
+    heavy,
+    reconnect,
+    list_outage,
+    list_garbled,
+    list_back,
+    balancer_crash
+};
+
+struct Trouble {
+    TroubleKind kind = TroubleKind::crash;
+    Instant at;  // from the start of the run
+    Span lasts;
+    double part = 0.25;  // of servers, clients or balancers
+    double size = 1;     // slow: what is left of the speed; errors: their rate; burst, heavy: how many times
+};
+
+struct World {
+    int servers = 12, balancers = 2, zones = 2, cells = 2;
+    std::vector<MachineKind> kinds{MachineKind{}};
+    Span setup_work = millis(4);
+    Span client_latency = millis(1), server_latency = millis(1);  // one way
+    Span add_notice = seconds(1), gone_notice = seconds(2), silent_notice = seconds(6);
+    double notice_spread = 0.5;  // of each balancer's notice round these, as a part of them
+    bool tells_load = true, tells_delay = true, advises = true;
+    int max_legs = 4;
+    Span connect_time = millis(150), max_advice = millis(1500);
+    double cross_price = 0;
+    Span drain_grace = seconds(3), fall_time = seconds(1);
+    double fall_multiple = 3;
+    Traffic traffic;
+    std::vector<Trouble> troubles;
+    Span length = seconds(60), judged_from = seconds(10);
+};
+
+const char* word(TroubleKind);
+bool trouble_from(const std::string& word, TroubleKind&);
+std::vector<std::string> trouble_words();
+
+// What a balancer of this world is told, as a Deployment and as the JSON settings of the wire.
+Deployment deployment_of(const World&, int balancer);
+std::string settings_json(const World&, int balancer);
+
+// Kind of each server: shares rounded so that they add up, the same for every seed.
+std::vector<int> kinds_of(const World&);
+// Work a second of all machines, warm, in microseconds.
+double capacity_of(const World&);
+std::string server_name(int server);  // "s-0007"
+
+}  // namespace headrouter::fleet
--- /dev/null
+++ b/src/lab/experiment.cpp
@@ -0,0 +1,239 @@
+#include "lab/experiment.h"
+
+#include "toml/fields.h"
+
+namespace headrouter::lab {
+using namespace fleet;
+
+namespace {
+
+constexpr Span no_time{}, long_time = seconds(3600);
+constexpr int most_servers = 4000, most_balancers = 2000, most_seeds = 1000;
+constexpr double most_connections = 4e6;
+
+void read_kind(Fields f, MachineKind& k) {
+    f.text("name", k.name);
+    f.number("share", k.share, 0.001, 1000);
+    f.number("cores", k.cores, 0.001, 1024);
+    f.number("speed", k.speed, 0.001, 100);
+    f.number("weight", k.weight, 0, 1e6);
+    f.number("cold_from", k.cold_from, 0.01, 1);
+    f.span("cold_time", k.cold_time, no_time, long_time);
+    f.whole("most_connections", k.most_connections, 0, 10'000'000);
+    f.number("error_rate", k.error_rate, 0, 1);
+    f.finish();
+}
+
+void read_fleet(Fields f, World& w) {
+    f.whole("servers", w.servers, 1, most_servers);
+    f.whole("balancers", w.balancers, 1, most_balancers);
+    f.whole("zones", w.zones, 1, 100);
+    f.whole("cells", w.cells, 1, 1000);
+    f.span("setup_work", w.setup_work, no_time, seconds(10));
+    f.span("client_latency", w.client_latency, millis(0.1), seconds(1));
+    f.span("server_latency", w.server_latency, millis(0.1), seconds(1));
+    f.span("connect_time", w.connect_time, millis(10), seconds(60));
+    f.flag("tells_load", w.tells_load);
+    f.flag("tells_delay", w.tells_delay);
+    const auto kinds = f.tables("kind");
+    if (!kinds.empty()) w.kinds.clear();
+    for (const Fields& k : kinds) read_kind(k, w.kinds.emplace_back());
+    f.finish();
+}
+
+void read_type(Fields f, TypeRow& t) {
+    f.text("name", t.name);
+    f.number("share", t.share, 0.001, 1000);
+    f.number("revenue", t.revenue, 0.001, 1e6);
+    f.one_of<Effect>("effect", t.effect,
+                     {{"repeatable", Effect::repeatable},
+                      {"referenced", Effect::referenced},
+                      {"once-only", Effect::once_only}});
+    f.one_of<Scope>("scope", t.scope, {{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}});
+    f.span("setup_target", t.setup_target, millis(1), seconds(60));
+    f.span("guard_time", t.guard_time, millis(50), seconds(60));
+    f.span("window", t.window, no_time, long_time);
+    f.span("message_target", t.message_target, millis(1), seconds(60));
+    f.span("message_every", t.message_every, millis(10), seconds(600));
+    f.number("load", t.load, 0.001, 1e6);
+    f.span("hold", t.hold, millis(100), long_time);
+    if (t.setup_target > t.guard_time) f.wrong("setup_target", "a span no longer than guard_time");
+    f.finish();
+}
+
+void read_traffic(Fields f, Traffic& t) {
+    f.number("use", t.use, 0.001, 5);
+    f.number("load_spread", t.load_spread, 0, 1);
+    f.whole("groups", t.groups, 0, 1'000'000);
+    f.number("group_load", t.group_load, 0, 1e6);
+    f.whole("tenants", t.tenants, 1, 100'000);
+    f.span("ramp", t.ramp, millis(100), long_time);
+    f.whole("retries", t.retries, 0, 1000);
+    f.span("back_off", t.back_off, millis(1), seconds(600));
+    f.span("return_after", t.return_after, millis(1), seconds(600));
+    const auto types = f.tables("type");
+    if (!types.empty()) t.types.clear();
+    for (const Fields& row : types) read_type(row, t.types.emplace_back());
+    f.finish();
+}
+
+void read_list(Fields f, World& w) {
+    f.span("add_notice", w.add_notice, no_time, long_time);
+    f.span("gone_notice", w.gone_notice, no_time, long_time);
+    f.span("silent_notice", w.silent_notice, no_time, long_time);
+    f.number("spread", w.notice_spread, 0, 10);
+    f.finish();
+}
+
+void read_rules(Fields f, World& w) {
+    f.whole("max_legs", w.max_legs, 1, 100);
+    f.flag("advises", w.advises);
+    f.span("max_advice", w.max_advice, no_time, seconds(600));
+    f.number("cross_price", w.cross_price, 0, 1);
+    f.span("drain_grace", w.drain_grace, no_time, seconds(600));
+    f.number("fall_multiple", w.fall_multiple, 1, 1000);
+    f.span("fall_time", w.fall_time, millis(10), seconds(600));
+    f.finish();
+}
+
+void read_trouble(Fields f, const World& w, Trouble& t) {
+    std::vector<std::pair<std::string, TroubleKind>> words;
+    for (const std::string& name : trouble_words())
+        trouble_from(name, words.emplace_back(name, TroubleKind{}).second);
+    if (!f.has("kind")) f.wrong("kind", "a kind of trouble");
+    f.one_of<TroubleKind>("kind", t.kind, words);
+    Span at;
+    f.span("at", at, no_time, w.length);
+    t.at = Instant{} + at;
+    f.span("lasts", t.lasts, no_time, long_time);
+    f.number("part", t.part, 0.0001, 1);
+    const bool is_rate = t.kind == TroubleKind::errors, is_speed = t.kind == TroubleKind::slow;
+    t.size = is_rate || is_speed ? 0.5 : 3;
+    f.number("size", t.size, is_speed ? 0.001 : 0, is_rate || is_speed ? 1 : 1000);
+    f.finish();
+}
+
+World world_from(Fields& f, const std::string& file) {
+    World w;
+    f.span("length", w.length, seconds(1), seconds(24 * 3600));
+    f.span("judged_from", w.judged_from, no_time, w.length);
+    if (w.judged_from >= w.length) w.judged_from = w.length * 0.2;
+    for (const Fields& t : f.table("fleet")) read_fleet(t, w);
+    for (const Fields& t : f.table("traffic")) read_traffic(t, w.traffic);
+    for (const Fields& t : f.table("list")) read_list(t, w);
+    for (const Fields& t : f.table("rules")) read_rules(t, w);
+    for (const Fields& t : f.tables("trouble")) read_trouble(t, w, w.troubles.emplace_back());
+    double least_load = 1e9;
+    for (const TypeRow& t : w.traffic.types) least_load = std::min(least_load, t.load);
+    const double standing = w.traffic.use * capacity_of(w) / (least_load * 1000);
+    if (standing > most_connections)
+        throw Malformed(
+            file + ": traffic.use: expected what comes to at most 4 million connections; this comes to " +
+            std::to_string(static_cast<int64_t>(standing)));
+    return w;
+}
+
+// Sets "traffic.use" or "fleet.kind[1].cores" in a copy of the file's table.
+void set_in(toml::table& root, const std::string& path, const toml::node& value, const std::string& blame) {
+    toml::table* at = &root;
+    size_t from = 0;
+    while (true) {
+        const size_t dot = path.find('.', from);
+        std::string key = path.substr(from, dot == std::string::npos ? dot : dot - from);
+        size_t index = 0;
+        if (const size_t bracket = key.find('['); bracket != std::string::npos) {
+            index = static_cast<size_t>(std::atoi(key.c_str() + bracket + 1));
+            key.resize(bracket);
+        }
+        if (dot == std::string::npos) return void(at->insert_or_assign(key, value));
+        if (!at->contains(key) && index == 0) at->insert(key, toml::table{});
+        toml::node* next = at->get(key);
+        if (next && next->is_array() && index >= 1 && index <= next->as_array()->size())
+            next = next->as_array()->get(index - 1);
+        if (!next || !next->is_table())
+            throw Malformed(blame + ": expected the path of a key; '" + path + "' is none");
+        at = next->as_table();
+        from = dot + 1;
+    }
+}
+
+struct ArmWords {
+    model::Arm placing;
+    const toml::table* sets = nullptr;
+    std::string blame;
+};
+
+std::vector<ArmWords> read_arms(Fields& root, const std::string& file) {
+    std::vector<std::pair<std::string, model::PolicyKind>> words;
+    for (int k = 0; k <= static_cast<int>(model::PolicyKind::rendezvous); ++k)
+        words.emplace_back(model::word(static_cast<model::PolicyKind>(k)), static_cast<model::PolicyKind>(k));
+    std::vector<ArmWords> arms;
+    for (Fields f : root.tables("arm")) {
+        ArmWords arm;
+        f.one_of<model::PolicyKind>("policy", arm.placing.policy, words);
+        arm.placing.name = model::word(arm.placing.policy);
+        f.text("name", arm.placing.name);
+        for (Fields s : f.table("set")) arm.sets = &s.all();
+        f.finish();
+        arm.blame = file + ": arm " + arm.placing.name;
+        for (const ArmWords& other : arms)
+            if (other.placing.name == arm.placing.name) f.wrong("name", "a name that no other arm has");
+        arms.push_back(arm);
+    }
+    if (arms.empty()) arms.push_back({});
+    return arms;
+}
+
+}  // namespace
+
+Experiment read_experiment(const std::string& text, const std::string& file) {
+    const toml::table root = parse_toml(text, file);
+    Fields f(root, file, "");
+    Experiment e;
+    e.name = "unnamed";
+    f.text("name", e.name);
+    int seeds = 1, first = 1;
+    f.whole("seeds", seeds, 1, most_seeds);
+    f.whole("first_seed", first, 0, 1'000'000'000);
+    for (int k = 0; k < seeds; ++k) e.seeds.push_back(static_cast<uint64_t>(first + k));
+    const std::vector<ArmWords> arms = read_arms(f, file);
+    std::vector<double> values{0};
+    for (Fields s : f.table("sweep")) {
+        s.text("key", e.swept);
+        values = s.numbers("values", -1e9, 1e9);
+        if (e.swept.empty()) s.wrong("key", "the path of a key, such as \"traffic.use\"");
+        if (values.empty()) s.wrong("values", "a list of numbers");
+        s.finish();
+    }
+    world_from(f, file);  // the file as it stands must be right before anything is set in it
+    f.finish();
+    for (const double value : values) {
+        Point& point = e.points.emplace_back();
+        point.value = value;
+        for (const ArmWords& words : arms) {
+            toml::table own = root;
+            if (words.sets)
+                for (const auto& [key, node] : *words.sets)
+                    set_in(own, std::string(key.str()), node, words.blame);
+            if (!e.swept.empty()) {
+                if (value == static_cast<double>(static_cast<int64_t>(value)))
+                    set_in(own, e.swept, toml::value<int64_t>(static_cast<int64_t>(value)), file + ": sweep");
+                else
+                    set_in(own, e.swept, toml::value<double>(value), file + ": sweep");
+            }
+            Fields again(own, file, "");
+            point.arms.push_back({words.placing, world_from(again, file)});
+        }
+    }
+    return e;
+}
+
+World read_world(const std::string& text, const std::string& file) {
+    const toml::table root = parse_toml(text, file);
+    Fields f(root, file, "");
+    World w = world_from(f, file);
+    f.finish();
+    return w;
+}
+
+}  // namespace headrouter::lab
--- /dev/null
+++ b/src/lab/experiment.h
@@ -0,0 +1,32 @@
+// An experiment as its file words it: a world, what is compared on it, from which seeds. docs/lab.md tells
+// the format. Each arm and each swept value has a whole world of its own, read before anything runs.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "fleet/world.h"
+#include "model/run.h"
+
+namespace headrouter::lab {
+
+struct Arm {
+    model::Arm placing;
+    fleet::World world;
+};
+
+struct Point {  // of a sweep; one without a key where nothing is swept
+    double value = 0;
+    std::vector<Arm> arms;
+};
+
+struct Experiment {
+    std::string name, swept;  // the key that a sweep sets, "traffic.use"
+    std::vector<uint64_t> seeds;
+    std::vector<Point> points;
+};
+
+// Throws Malformed: file, line, key, what was expected.
+Experiment read_experiment(const std::string& text, const std::string& file);
+fleet::World read_world(const std::string& text, const std::string& file = "world");
+
+}  // namespace headrouter::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,167 @@
+// headrouter_lab: experiments on a model of the fleet and on loopback with stand-in servers.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include "lab/demo.h"
+#include "lab/experiment.h"
+#include "lab/measures.h"
+#include "lab/report.h"
+#include "lab/results.h"
+#include "lab/runner.h"
+#include "toml/fields.h"
+
+namespace {
+
+using namespace headrouter;
+using namespace headrouter::lab;
+
+std::atomic<bool> stop{false};
+// What a broken rule, a wrong file and a run that could not be judged end the lab with.
+constexpr int rules_broken = 1, wrong_input = 2, not_judged = 3, stopped = 130;
+
+// The balancer that was built beside the lab.
+std::string beside(const char* own) {
+    std::string path = own;
+    char exact[4096];
+    if (const ssize_t n = readlink("/proc/self/exe", exact, sizeof exact); n > 0)
+        path.assign(exact, static_cast<size_t>(n));
+    return path.substr(0, path.rfind('/') + 1) + "headrouter";
+}
+
+struct Asked {
+    std::string file, on = "model", out, program;
+    int threads = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
+    int seeds = 0;
+    bool quick = false;
+};
+
+enum class What { run, compare, sweep };
+
+int play_file(const Asked& a, What what) {
+    Experiment e = read_experiment(file_text(a.file), a.file);
+    if (a.seeds > 0) {
+        const uint64_t first = e.seeds.front();
+        e.seeds.clear();
+        for (int k = 0; k < a.seeds; ++k) e.seeds.push_back(first + static_cast<uint64_t>(k));
+    }
+    if (what == What::sweep && e.swept.empty())
+        throw Malformed(a.file + ": sweep: expected a table [sweep] with key and values");
+    if (what == What::run) {  // one arm, one seed, the file's own value
+        e.points.resize(1);
+        e.points[0].arms.resize(1);
+        e.seeds.resize(1);
+    }
+    const On on = a.on == "sockets" ? On::sockets : On::model;
+    for (const Point& p : e.points)
+        for (const Arm& arm : p.arms)
+            if (on == On::sockets && arm.placing.policy != model::PolicyKind::brain)
+                throw Malformed(a.file + ": arm " + arm.placing.name +
+                                ": expected policy \"brain\" on sockets, where the "
+                                "program itself runs");
+    std::ofstream out;
+    if (!a.out.empty()) {
+        out.open(a.out, std::ios::app);
+        if (!out) throw Malformed("'" + a.out + "' cannot be written");
+    }
+    const bool terminal = isatty(2) == 1;
+    Playing how;
+    how.on = on;
+    how.threads = a.threads;
+    how.program = a.program;
+    how.stop = &stop;
+    how.done = [&](const fleet::Outcome& o) {
+        if (a.out.empty()) return;
+        out << to_json(o) << '\n';
+        out.flush();
+    };
+    how.progress = [&](size_t done, size_t of) {
+        if (terminal)
+            std::cerr << "\r" << done << " of " << of << " runs" << (done == of ? "\n" : "") << std::flush;
+    };
+    const std::vector<fleet::Outcome> all = play(e, how);
+    std::cout << e.name << " on " << (on == On::model ? "the model" : "sockets, stand-in servers") << ", "
+              << e.seeds.size() << (e.seeds.size() == 1 ? " seed" : " seeds")
+              << (stop ? ", stopped: partial" : "") << "\n"
+              << table_of(e, all);
+    bool broken = false, unjudged = false;
+    for (const fleet::Outcome& o : all) {
+        broken = broken || (o.rules_broken() > 0 && o.not_judged.empty());
+        if (!o.not_judged.empty())
+            std::cout << "not judged: " << o.arm << ", seed " << o.seed << ": " << o.not_judged << "\n";
+        unjudged = unjudged || !o.not_judged.empty();
+        for (const std::string& example : o.examples)
+            std::cout << o.arm << ", seed " << o.seed << ": " << example << "\n";
+    }
+    return stop ? stopped : unjudged ? not_judged : broken ? rules_broken : 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGINT, [](int) { stop = true; });
+    std::signal(SIGTERM, [](int) { stop = true; });
+    CLI::App app{
+        "Experiments for headrouter: on a model of the fleet in virtual time, and on loopback sockets with "
+        "stand-in servers. docs/lab.md tells how to write one."};
+    app.require_subcommand(1);
+    Asked a;
+    a.program = beside(argv[0]);
+    const auto common = [&](CLI::App* sub) {
+        sub->add_option("file", a.file, "the experiment, in TOML")->required();
+        sub->add_option("--on", a.on, "model or sockets")
+            ->check(CLI::IsMember({"model", "sockets"}))
+            ->capture_default_str();
+        sub->add_option("--out", a.out, "add the results to this file, a JSON line a run");
+        sub->add_option("--threads", a.threads, "runs of the model side by side")->check(CLI::Range(1, 256));
+        sub->add_option("--balancer", a.program, "the balancer's program, for sockets");
+    };
+    auto* run = app.add_subcommand("run", "plays the first arm of an experiment once");
+    auto* compare = app.add_subcommand("compare", "plays all arms over all seeds, side by side");
+    auto* sweep = app.add_subcommand("sweep", "the same for each value of the experiment's sweep");
+    for (CLI::App* sub : {run, compare, sweep}) {
+        common(sub);
+        if (sub != run)
+            sub->add_option("--seeds", a.seeds, "in place of the file's number")->check(CLI::Range(1, 1000));
+    }
+    auto* report = app.add_subcommand("report", "makes a page of HTML from results");
+    std::string page = "report.html";
+    report->add_option("results", a.file, "a file of JSON lines")->required();
+    report->add_option("-o,--output", page, "the page")->capture_default_str();
+    auto* measured = app.add_subcommand(
+        "measure", "proves a claim: a table, then a line of JSON; exit code 0 if it holds");
+    std::string name;
+    measured->add_option("name", name, "which")->required()->check(CLI::IsMember(measure_names()));
+    measured->add_flag("--quick", a.quick, "smaller, within 50 s");
+    measured->add_option("--threads", a.threads, "runs of the model side by side")->check(CLI::Range(1, 256));
+    measured->add_option("--balancer", a.program, "the balancer's program");
+    auto* shown =
+        app.add_subcommand("demo", "starts balancers with a stand-in fleet and shows clients being served");
+    double seconds_long = 20;
+    shown->add_option("--seconds", seconds_long, "how long")
+        ->check(CLI::Range(5.0, 3600.0))
+        ->capture_default_str();
+    shown->add_option("--balancer", a.program, "the balancer's program");
+    CLI11_PARSE(app, argc, argv);
+    try {
+        if (run->parsed()) return play_file(a, What::run);
+        if (compare->parsed()) return play_file(a, What::compare);
+        if (sweep->parsed()) return play_file(a, What::sweep);
+        if (shown->parsed()) return demo(a.program, seconds_long, &stop);
+        if (measured->parsed()) return measure(name, {a.quick, a.threads, a.program, &stop});
+        const Results results = read_results(a.file);
+        std::ofstream out(page);
+        out << report_html(results.outcomes, results.cut_off);
+        if (!out.flush()) throw Malformed("'" + page + "' cannot be written");
+        std::cout << page << ": " << results.outcomes.size() << " runs\n";
+        return 0;
+    } catch (const std::exception& e) {
+        std::cerr << "headrouter_lab: " << e.what() << "\n";
+        return wrong_input;
+    }
+}
--- /dev/null
+++ b/src/lab/measures.h
@@ -0,0 +1,20 @@
+// Claims with their proof: each prints a table and, last, one line of JSON with `ok`.
+#pragma once
+#include <atomic>
+#include <string>
+#include <vector>
+
+namespace headrouter::lab {
+
+struct Measuring {
+    bool quick = false;
+    int threads = 1;
+    std::string program;  // the balancer
+    const std::atomic<bool>* stop = nullptr;
+};
+
+std::vector<std::string> measure_names();
+// The exit code: 0 only where the claim holds; 3 where it could not be judged.
+int measure(const std::string& name, const Measuring&);
+
+}  // namespace headrouter::lab
--- /dev/null
+++ b/src/lab/report.cpp
@@ -0,0 +1,296 @@
+#include "lab/report.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <iomanip>
+#include <map>
+#include <set>
+#include <sstream>
+
+#include "lab/statistics.h"
+
+namespace headrouter::lab {
+using namespace fleet;
+
+namespace {
+
+constexpr int width = 900, height = 220, left = 50, right = 12, top = 12, bottom = 26;
+constexpr std::array colours{"#1b6ca8", "#c8553d", "#3a7d44", "#7b4b94", "#b58900", "#555555"};
+
+std::string escaped(const std::string& text) {
+    std::string out;
+    for (const char c : text) switch (c) {
+            case '<': out += "&lt;"; break;
+            case '>': out += "&gt;"; break;
+            case '&': out += "&amp;"; break;
+            case '"': out += "&quot;"; break;
+            default: out += c;
+        }
+    return out;
+}
+
+std::string fixed(double v, int places) {
+    std::ostringstream o;
+    o << std::fixed << std::setprecision(places) << v;
+    return o.str();
+}
+
+struct Line {
+    std::string name;
+    std::vector<double> y, low, high;  // low and high: a band, where there is one
+};
+
+class Plot {
+   public:
+    Plot(double seconds, double most, std::string unit)
+        : seconds_(std::max(1.0, seconds)), most_(std::max(1e-9, most)) {
+        o_ << "<svg viewBox='0 0 " << width << ' ' << height << "' role='img'>";
+        for (int k = 0; k <= 4; ++k) {
+            const double v = most_ * k / 4;
+            o_ << "<line x1='" << left << "' x2='" << width - right << "' y1='" << y(v) << "' y2='" << y(v)
+               << "' class='grid'/><text x='" << left - 6 << "' y='" << y(v) + 4 << "' text-anchor='end'>"
+               << fixed(v, most_ < 10 ? 2 : 0) << unit << "</text>";
+        }
+        const double step = seconds_ > 300 ? 60 : seconds_ > 90 ? 20 : seconds_ > 30 ? 10 : 5;
+        for (double t = 0; t <= seconds_; t += step)
+            o_ << "<text x='" << x(t) << "' y='" << height - 8 << "' text-anchor='middle'>" << fixed(t, 0)
+               << " s</text>";
+    }
+    void mark(double from, double to, const std::string& what) {
+        o_ << "<rect x='" << x(from) << "' y='" << top << "' width='"
+           << std::max(1.0, x(std::min(to, seconds_)) - x(from)) << "' height='" << height - top - bottom
+           << "' class='mark'><title>" << escaped(what) << "</title></rect>";
+    }
+    void line(const Line& l, const char* colour) {
+        if (!l.low.empty()) {
+            o_ << "<polygon fill='" << colour << "' fill-opacity='.15' points='";
+            for (size_t k = 0; k < l.low.size(); ++k) point(k, l.low[k]);
+            for (size_t k = l.high.size(); k-- > 0;) point(k, l.high[k]);
+            o_ << "'/>";
+        }
+        o_ << "<polyline fill='none' stroke='" << colour << "' stroke-width='1.6' points='";
+        for (size_t k = 0; k < l.y.size(); ++k) point(k, l.y[k]);
+        o_ << "'><title>" << escaped(l.name) << "</title></polyline>";
+    }
+    std::string done() { return o_.str() + "</svg>"; }
+
+   private:
+    double x(double t) const { return left + (width - left - right) * std::min(t, seconds_) / seconds_; }
+    double y(double v) const {
+        return height - bottom - (height - top - bottom) * std::clamp(v / most_, 0.0, 1.0);
+    }
+    void point(size_t k, double v) {
+        o_ << fixed(x(static_cast<double>(k) + 0.5), 1) << ',' << fixed(y(v), 1) << ' ';
+    }
+    double seconds_, most_;
+    std::ostringstream o_;
+};
+
+const char* deed_word(Deed::What w) {
+    constexpr std::array words{"dies",          "starts cold",  "vanishes",      "hangs",
+                               "answers again", "speed",        "errors",        "full",
+                               "drains",        "moves a part", "list: gone",    "list: draining",
+                               "list: serving", "list silent",  "list garbled",  "list goes back",
+                               "list sound",    "clients drop", "balancer dies", "balancer starts"};
+    return words.at(static_cast<size_t>(w));
+}
+
+// Deeds that are one trouble's beginning or end, without the small steps between, as spans to shade.
+void shade(Plot& plot, const Outcome& o) {
+    using What = Deed::What;
+    const auto later = [&](const Deed& from, What what) {
+        for (const Deed& d : o.deeds)
+            if (d.at > from.at && d.what == what && d.target == from.target)
+                return in_seconds(d.at - Instant{});
+        return 1e9;
+    };
+    for (const Deed& d : o.deeds) {
+        const double from = in_seconds(d.at - Instant{});
+        double to = from;
+        switch (d.what) {
+            case What::die:
+            case What::vanish: to = later(d, What::start_cold); break;
+            case What::hang: to = later(d, What::answer_again); break;
+            case What::speed:
+            case What::errors:
+            case What::full:
+                if (d.size == (d.what == What::speed ? 1 : 0)) continue;
+                to = later(d, d.what);
+                break;
+            case What::drain: to = later(d, What::die); break;
+            case What::list_silent:
+            case What::list_garbled:
+            case What::list_back: to = later(d, What::list_sound); break;
+            case What::balancer_dies: to = later(d, What::balancer_starts); break;
+            case What::clients_drop: to = from + 0.3; break;
+            default: continue;
+        }
+        plot.mark(from, to,
+                  std::string(deed_word(d.what)) + (d.target >= 0 ? " " + std::to_string(d.target) : ""));
+    }
+}
+
+struct Group {
+    std::vector<const Outcome*> runs;
+};
+
+Line service_line(const std::string& name, const Group& g) {
+    Line l;
+    l.name = name;
+    size_t seconds = 0;
+    for (const Outcome* o : g.runs) seconds = std::max(seconds, o->asked_each.size());
+    for (size_t s = 0; s < seconds; ++s) {
+        std::vector<double> at;
+        for (const Outcome* o : g.runs)
+            if (s < o->asked_each.size() && o->asked_each[s] > 0)
+                at.push_back(o->served_each[s] / o->asked_each[s]);
+        l.y.push_back(mean_of(at).value);
+        if (g.runs.size() > 1) l.low.push_back(quantile(at, 0)), l.high.push_back(quantile(at, 1));
+    }
+    return l;
+}
+
+std::string legend(const std::vector<std::string>& names) {
+    std::string out = "<p class='legend'>";
+    for (size_t k = 0; k < names.size(); ++k)
+        out += "<span style='color:" + std::string(colours[k % colours.size()]) + "'>&#9632;</span> " +
+               escaped(names[k]) + " ";
+    return out + "</p>";
+}
+
+std::string use_plot(const Outcome& o) {
+    double most = 1.2;
+    for (const auto& row : o.use_each)
+        for (const float v : row) most = std::max(most, std::min(4.0, static_cast<double>(v)));
+    Plot plot(static_cast<double>(o.use_each.size()), most, "");
+    shade(plot, o);
+    const size_t servers = o.use_each.empty() ? 0 : o.use_each.front().size();
+    constexpr size_t drawn_each = 40;  // beyond, quantiles say more than lines on top of each other
+    if (servers <= drawn_each) {
+        for (size_t k = 0; k < servers; ++k) {
+            Line l;
+            l.name = server_name(static_cast<int>(k));
+            for (const auto& row : o.use_each) l.y.push_back(k < row.size() ? std::max(0.f, row[k]) : 0);
+            plot.line(l, colours[k % colours.size()]);
+        }
+        return plot.done();
+    }
+    Line l;
+    l.name = "median, least and most";
+    for (const auto& row : o.use_each) {
+        std::vector<double> all;
+        for (const float v : row)
+            if (v >= 0) all.push_back(static_cast<double>(v));
+        l.y.push_back(quantile(all, 0.5)), l.low.push_back(quantile(all, 0)),
+            l.high.push_back(quantile(all, 1));
+    }
+    plot.line(l, colours[0]);
+    return plot.done();
+}
+
+}  // namespace
+
+std::string report_html(const std::vector<Outcome>& outcomes, int cut_off) {
+    std::ostringstream o;
+    o << "<!doctype html><html lang='en'><meta charset='utf-8'><title>headrouter lab</title><style>"
+         "body{font:14px/1.45 sans-serif;max-width:960px;margin:2em auto;padding:0 1em;color:#222}"
+         "table{border-collapse:collapse}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid "
+         "#ddd}"
+         "td:first-child,th:first-child{text-align:left}svg{width:100%;font-size:11px;fill:#444}"
+         ".grid{stroke:#e4e4e4}.mark{fill:#c8553d;fill-opacity:.08}.bad{color:#b00020;font-weight:bold}"
+         ".legend{margin:.2em 0}</style><h1>headrouter lab</h1>";
+    if (cut_off > 0) o << "<p class='bad'>The results end in the middle of a line: a run was cut off.</p>";
+    std::map<std::tuple<std::string, std::string, double>, std::map<std::string, Group>> sets;
+    std::vector<std::tuple<std::string, std::string, double>> order;
+    for (const Outcome& out : outcomes) {
+        const auto key = std::tuple{out.experiment, out.on, out.swept};
+        if (!sets.count(key)) order.push_back(key);
+        sets[key][out.arm].runs.push_back(&out);
+    }
+    if (order.empty()) o << "<p>No runs.</p>";
+    for (const auto& key : order) {
+        const auto& [experiment, on, swept] = key;
+        const auto& arms = sets[key];
+        o << "<h2>" << escaped(experiment) << " <small>on "
+          << (on == "model" ? "the model" : "sockets, stand-in servers");
+        if (swept != 0) o << ", swept value " << swept;
+        o << "</small></h2><table><tr><th>arm<th>runs<th>service<th>&plusmn; (95%)<th>least<th>up in "
+             "time<th>legs a "
+             "call<th>moves a call<th>rules broken";
+        std::vector<std::string> names;
+        std::vector<Line> lines;
+        const Outcome* worst = nullptr;
+        size_t seconds = 0;
+        for (const auto& [arm, group] : arms) {
+            std::vector<double> service, in_time, legs, moves;
+            uint64_t broken = 0;
+            bool partial = false;
+            std::set<std::string> unjudged;
+            for (const Outcome* r : group.runs) {
+                const double calls = std::max<double>(1, static_cast<double>(r->calls));
+                partial = partial || r->partial;
+                if (!r->not_judged.empty()) unjudged.insert(r->not_judged);
+                service.push_back(r->service());
+                in_time.push_back(static_cast<double>(r->up_in_time) / calls);
+                legs.push_back(static_cast<double>(r->legs) / calls);
+                moves.push_back(static_cast<double>(r->moved) / calls);
+                broken += r->rules_broken();
+                seconds = std::max(seconds, r->asked_each.size());
+                if (!worst || r->service() < worst->service()) worst = r;
+            }
+            const Mean m = mean_of(service);
+            o << "<tr><td>" << escaped(arm) << (partial ? " <span class='bad'>partial</span>" : "");
+            for (const std::string& why : unjudged)
+                o << " <span class='bad'>not judged: " << escaped(why) << "</span>";
+            o << "<td>" << m.n << "<td>" << fixed(m.value, 4) << "<td>" << (m.n > 1 ? fixed(m.half, 4) : "")
+              << "<td>" << fixed(quantile(service, 0), 4) << "<td>" << fixed(mean_of(in_time).value, 4)
+              << "<td>" << fixed(mean_of(legs).value, 3) << "<td>" << fixed(mean_of(moves).value, 3) << "<td"
+              << (broken ? " class='bad'>" : ">") << broken;
+            names.push_back(arm);
+            lines.push_back(service_line(arm, group));
+        }
+        o << "</table><h3>Service over time</h3><p>Mean over the seeds; the band holds all of them. Shaded: "
+             "what went "
+             "wrong (hover).</p>"
+          << legend(names);
+        Plot plot(static_cast<double>(seconds), 1, "");
+        if (worst) shade(plot, *worst);
+        for (size_t k = 0; k < lines.size(); ++k) plot.line(lines[k], colours[k % colours.size()]);
+        o << plot.done();
+        if (!worst) continue;
+        o << "<h3>Work asked of each server over what it can do</h3><p>In the run with the least service: "
+          << escaped(worst->arm) << ", seed " << worst->seed << ".</p>" << use_plot(*worst);
+        o << "<h3>Message delay, ms</h3><table><tr><th>arm, traffic type<th>median<th>95%<th>99%";
+        for (const auto& [arm, group] : arms)
+            for (size_t t = 0; t < group.runs.front()->delay_median.size(); ++t) {
+                std::vector<double> a, b, c;
+                for (const Outcome* r : group.runs) {
+                    if (t >= r->delay_median.size()) continue;
+                    a.push_back(in_seconds(r->delay_median[t]) * 1000);
+                    b.push_back(in_seconds(r->delay_95[t]) * 1000);
+                    c.push_back(in_seconds(r->delay_99[t]) * 1000);
+                }
+                o << "<tr><td>" << escaped(arm) << ", " << t << "<td>" << fixed(mean_of(a).value, 1) << "<td>"
+                  << fixed(mean_of(b).value, 1) << "<td>" << fixed(mean_of(c).value, 1);
+            }
+        o << "</table>";
+        for (const auto& [arm, group] : arms)
+            for (const Outcome* r : group.runs)
+                for (const std::string& e : r->examples)
+                    o << "<p class='bad'>" << escaped(arm) << ", seed " << r->seed << ": " << escaped(e)
+                      << "</p>";
+        o << "<details><summary>What happened when, seed " << worst->seed << "</summary><table>";
+        for (const Deed& d : worst->deeds) {
+            if (d.what == Deed::What::move_one_part) continue;
+            o << "<tr><td>" << fixed(in_seconds(d.at - Instant{}), 1) << " s<td>" << deed_word(d.what)
+              << "<td>" << (d.target >= 0 ? std::to_string(d.target) : "") << "<td>"
+              << (d.size != 0 ? fixed(d.size, 2) : "");
+        }
+        o << "</table></details>";
+    }
+    o << "</html>\n";
+    return o.str();
+}
+
+}  // namespace headrouter::lab
--- /dev/null
+++ b/src/lab/results.cpp
@@ -0,0 +1,162 @@
+#include "lab/results.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <cinttypes>
+#include <cstdio>
+
+#include "toml/fields.h"
+#include "wire/json.h"
+
+namespace headrouter::lab {
+using namespace fleet;
+
+namespace {
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+constexpr int format = 1;
+
+template <class Values, class Write>
+void list(Writer& w, const char* name, const Values& values, Write write) {
+    w.Key(name);
+    w.StartArray();
+    for (const auto& v : values) write(v);
+    w.EndArray();
+}
+
+std::vector<double> numbers(const json::Json& o, const char* name) {
+    std::vector<double> all;
+    for (const json::Json& v : json::array(o, name).GetArray())
+        all.push_back(v.IsNumber() ? v.GetDouble() : 0);
+    return all;
+}
+
+constexpr std::pair<const char*, uint64_t Outcome::*> counts[] = {
+    {"calls", &Outcome::calls},   {"up", &Outcome::up},           {"up_in_time", &Outcome::up_in_time},
+    {"busy", &Outcome::busy},     {"failed", &Outcome::failed},   {"moved", &Outcome::moved},
+    {"broken", &Outcome::broken}, {"gave_up", &Outcome::gave_up}, {"legs", &Outcome::legs},
+    {"events", &Outcome::events}};
+constexpr std::pair<const char*, std::vector<Span> Outcome::*> delays[] = {
+    {"delay_median_ms", &Outcome::delay_median},
+    {"delay_95_ms", &Outcome::delay_95},
+    {"delay_99_ms", &Outcome::delay_99}};
+
+}  // namespace
+
+std::string to_json(const Outcome& o) {
+    rapidjson::StringBuffer buffer;
+    Writer w(buffer);
+    w.SetMaxDecimalPlaces(6);
+    const auto text = [&](const char* name, const std::string& value) {
+        w.Key(name);
+        w.String(value.c_str(), static_cast<rapidjson::SizeType>(value.size()));
+    };
+    const auto number = [&](const char* name, double value) { w.Key(name), w.Double(value); };
+    w.StartObject();
+    w.Key("format"), w.Int(format);
+    text("experiment", o.experiment), text("arm", o.arm), text("on", o.on);
+    w.Key("seed"), w.Uint64(o.seed);
+    number("swept", o.swept), number("service", o.service()), number("asked", o.asked),
+        number("served", o.served);
+    char digest[20];
+    std::snprintf(digest, sizeof digest, "%016" PRIx64, o.digest);
+    text("digest", digest);
+    w.Key("partial"), w.Bool(o.partial);
+    if (!o.not_judged.empty()) text("not_judged", o.not_judged);
+    for (const auto& [name, field] : counts) w.Key(name), w.Uint64(o.*field);
+    w.Key("rules");
+    w.StartObject();
+    for (size_t r = 0; r < o.rules.size(); ++r) w.Key(word(static_cast<Rule>(r))), w.Uint64(o.rules[r]);
+    w.EndObject();
+    list(w, "examples", o.examples, [&](const std::string& s) { w.String(s.c_str()); });
+    for (const auto& [name, field] : delays)
+        list(w, name, o.*field, [&](Span s) { w.Double(in_seconds(s) * 1000); });
+    list(w, "asked_each", o.asked_each, [&](double v) { w.Double(v); });
+    list(w, "served_each", o.served_each, [&](double v) { w.Double(v); });
+    list(w, "use_each", o.use_each, [&](const std::vector<float>& row) {
+        w.StartArray();
+        for (const float v : row) w.Double(static_cast<double>(v));
+        w.EndArray();
+    });
+    list(w, "deeds", o.deeds, [&](const Deed& d) {
+        w.StartArray();
+        w.Double(in_seconds(d.at - Instant{})), w.Int(static_cast<int>(d.what)), w.Int(d.target),
+            w.Double(d.size);
+        w.EndArray();
+    });
+    number("wall_seconds", o.wall_seconds);
+    w.EndObject();
+    return {buffer.GetString(), buffer.GetSize()};
+}
+
+static Outcome from_json(const rapidjson::Document& doc) {
+    using namespace json;
+    if (!doc.IsObject()) throw Malformed("not an object");
+    if (integer(doc, "format") != format) throw Malformed("field 'format' is not " + std::to_string(format));
+    Outcome o;
+    o.experiment = text(doc, "experiment"), o.arm = text(doc, "arm"), o.on = text(doc, "on");
+    o.seed = static_cast<uint64_t>(natural(doc, "seed"));
+    o.swept = real(doc, "swept"), o.asked = real(doc, "asked"), o.served = real(doc, "served");
+    o.digest = std::strtoull(text(doc, "digest").c_str(), nullptr, 16);
+    o.partial = flag(doc, "partial");
+    o.not_judged = text_or(doc, "not_judged", "");
+    for (const auto& [name, field] : counts) o.*field = static_cast<uint64_t>(natural(doc, name));
+    const Json& rules = object(doc, "rules");
+    for (size_t r = 0; r < static_cast<size_t>(Rule::how_many); ++r)
+        o.rules.push_back(static_cast<uint64_t>(natural(rules, word(static_cast<Rule>(r)))));
+    for (const Json& e : array(doc, "examples").GetArray())
+        if (e.IsString()) o.examples.emplace_back(e.GetString());
+    for (const auto& [name, field] : delays)
+        for (const double ms : numbers(doc, name)) (o.*field).push_back(millis(ms));
+    o.asked_each = numbers(doc, "asked_each"), o.served_each = numbers(doc, "served_each");
+    for (const Json& row : array(doc, "use_each").GetArray()) {
+        if (!row.IsArray()) wrong("use_each", "a list of lists");
+        auto& into = o.use_each.emplace_back();
+        for (const Json& v : row.GetArray()) into.push_back(v.IsNumber() ? v.GetFloat() : 0.f);
+    }
+    for (const Json& d : array(doc, "deeds").GetArray()) {
+        if (!d.IsArray() || d.Size() != 4 || !d[0].IsNumber() || !d[1].IsInt() || !d[2].IsInt() ||
+            !d[3].IsNumber())
+            wrong("deeds", "a list of deeds");
+        o.deeds.push_back({Instant{} + seconds(d[0].GetDouble()), static_cast<Deed::What>(d[1].GetInt()),
+                           d[2].GetInt(), d[3].GetDouble()});
+    }
+    o.wall_seconds = real(doc, "wall_seconds");
+    return o;
+}
+
+Results read_results(const std::string& path) {
+    const std::string all = [&] {
+        FILE* f = std::fopen(path.c_str(), "rb");
+        if (!f) throw Malformed("'" + path + "' cannot be read");
+        std::string text;
+        char bytes[65536];
+        for (size_t n; (n = std::fread(bytes, 1, sizeof bytes, f)) > 0;) text.append(bytes, n);
+        std::fclose(f);
+        return text;
+    }();
+    Results results;
+    int line_number = 0;
+    for (size_t from = 0; from < all.size();) {
+        const size_t to = all.find('\n', from);
+        ++line_number;
+        if (to == std::string::npos) {
+            ++results.cut_off;
+            break;
+        }
+        const std::string line = all.substr(from, to - from);
+        from = to + 1;
+        if (line.empty()) continue;
+        try {
+            rapidjson::Document doc;
+            json::parse(doc, line);
+            results.outcomes.push_back(from_json(doc));
+        } catch (const Malformed& e) {
+            throw Malformed(path + ":" + std::to_string(line_number) + ": " + e.what());
+        }
+    }
+    return results;
+}
+
+}  // namespace headrouter::lab
--- /dev/null
+++ b/src/lab/results.h
@@ -0,0 +1,20 @@
+// Outcomes as JSON lines: one a run, written when it ends, so that what was done stands whatever comes after.
+#pragma once
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "fleet/outcome.h"
+
+namespace headrouter::lab {
+
+std::string to_json(const fleet::Outcome&);  // without a line end
+// Throws Malformed with the line. Lines that end early, as a killed run leaves them, are passed over and
+// counted.
+struct Results {
+    std::vector<fleet::Outcome> outcomes;
+    int cut_off = 0;
+};
+Results read_results(const std::string& path);
+
+}  // namespace headrouter::lab
--- /dev/null
+++ b/src/lab/runner.h
@@ -0,0 +1,28 @@
+// Plays an experiment: every point, arm and seed once, several at a time where they are runs of the model.
+// The order of what comes out never depends on which run ended first.
+#pragma once
+#include <atomic>
+#include <functional>
+
+#include "fleet/outcome.h"
+#include "lab/experiment.h"
+
+namespace headrouter::lab {
+
+enum class On { model, sockets };
+
+struct Playing {
+    On on = On::model;
+    int threads = 1;
+    std::string program;  // the balancer, for runs on sockets
+    const std::atomic<bool>* stop = nullptr;
+    std::function<void(const fleet::Outcome&)> done;       // in the order of points, arms and seeds
+    std::function<void(size_t done, size_t of)> progress;  // may be empty
+};
+
+std::vector<fleet::Outcome> play(const Experiment&, const Playing&);
+
+// Arms side by side over the seeds, at each point: a table, and what differs from the first arm for sure.
+std::string table_of(const Experiment&, const std::vector<fleet::Outcome>&);
+
+}  // namespace headrouter::lab
--- /dev/null
+++ b/src/model/crew.cpp
@@ -0,0 +1,50 @@
+#include "model/crew.h"
+
+namespace headrouter::model {
+
+namespace {
+constexpr int spins = 2000;
+}
+
+Crew::Crew(int threads) {
+    for (int k = 1; k < threads; ++k) others_.emplace_back([this] { labour(); });
+}
+
+Crew::~Crew() {
+    over_ = true;
+    ++round_;
+    for (std::thread& t : others_) t.join();
+}
+
+void Crew::take_pieces() {
+    for (size_t k; (k = next_.fetch_add(1)) < n_;) (*work_)(k);
+}
+
+void Crew::labour() {
+    uint64_t seen = 0;
+    while (true) {
+        for (int tries = 0; round_.load(std::memory_order_acquire) == seen; ++tries)
+            if (tries > spins) std::this_thread::yield();
+        seen = round_.load(std::memory_order_acquire);
+        if (over_) return;
+        take_pieces();
+        busy_.fetch_sub(1, std::memory_order_acq_rel);
+    }
+}
+
+void Crew::run(size_t n, const std::function<void(size_t)>& work) {
+    if (others_.empty() || n < 2) {
+        for (size_t k = 0; k < n; ++k) work(k);
+        return;
+    }
+    n_ = n;
+    work_ = &work;
+    next_ = 0;
+    busy_ = others_.size();
+    round_.fetch_add(1, std::memory_order_acq_rel);
+    take_pieces();
+    for (int tries = 0; busy_.load(std::memory_order_acquire) > 0; ++tries)
+        if (tries > spins) std::this_thread::yield();
+}
+
+}  // namespace headrouter::model
--- /dev/null
+++ b/src/model/run.cpp
@@ -0,0 +1,731 @@
+#include "model/run.h"
+
+#include <algorithm>
+#include <chrono>
+#include <queue>
+#include <utility>
+
+#include "fleet/machine.h"
+#include "model/crew.h"
+#include "model/host.h"
+
+namespace headrouter::model {
+using namespace fleet;
+
+namespace {
+
+constexpr Instant never{INT64_MAX};
+constexpr Span delay_beat = seconds(1), whole_second = seconds(1);
+// As the program finds out about servers that say nothing (net/server_side.cpp).
+constexpr Span longest_silence = seconds(1.5), longest_quiet = seconds(0.7), shortest_sign = seconds(0.25);
+constexpr Span front_notice = seconds(1);  // until no more clients are sent to a balancer that died
+
+struct Event {
+    enum class What {
+        session_begins,
+        session_ends,
+        comes,
+        guard_over,
+        answer,
+        line_came,
+        connected,
+        closed,
+        set_up_done,
+        deed,
+        told,
+        deemed,
+        sample,
+        silence,
+        front_learns
+    } what;
+    Instant at;
+    uint64_t order = 0;
+    uint64_t id = 0;  // session, call or place among the deeds
+    int server = -1, leg = -1, balancer = -1;
+    uint64_t stamp = 0;
+    Span span{};
+    Order::What answer_kind = Order::What::up;
+    bool operator>(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
+};
+
+class Universe {
+   public:
+    Universe(const World& w, const Arm& arm, uint64_t seed, Outcome& out)
+        : w_(w),
+          out_(out),
+          chance_(seed, 31),
+          sessions_(draw_sessions(w, seed)),
+          clients_(sessions_.size()),
+          ledger_(w, millis(50)),
+          front_up_(w.balancers, 1),
+          alive_(w.balancers, 1),
+          stamps_(w.balancers),
+          silent_stamp_(w.servers),
+          standing_(w.servers),
+          asked_(w.traffic.types.size()) {
+        const std::vector<int> kinds = kinds_of(w);
+        Pcg32 seeds(seed, 41);
+        for (int k = 0; k < w.servers; ++k) machines_.emplace_back(w.kinds[kinds[k]], w, seeds.next());
+        for (int b = 0; b < w.balancers; ++b) hosts_.emplace_back(w, b, arm.policy, seeds.next() + seed);
+        out_.deeds = script_of(w, seed);
+        auto whole = std::make_shared<std::vector<Listed>>();
+        for (int k = 0; k < w.servers; ++k) {
+            const MachineKind& kind = w.kinds[kinds[k]];
+            whole->push_back({server_name(k), kind.weight, Condition::active, k % w.zones, k % w.cells, {}});
+        }
+        first_list_ = *whole;
+        list_ = *whole;
+        for (Host& h : hosts_) {
+            News n{News::What::list, Instant{}};
+            n.list = whole;
+            n.kind = ListKind::complete;
+            h.tell(std::move(n));
+        }
+        for (const Session& s : sessions_) {
+            add({Event::What::session_begins, s.from, 0, s.number});
+            if (s.until < Instant{} + w.length) add({Event::What::session_ends, s.until, 0, s.number});
+        }
+        for (size_t k = 0; k < out_.deeds.size(); ++k) add({Event::What::deed, out_.deeds[k].at, 0, k});
+        add({Event::What::sample, Instant{} + sample_every});
+    }
+
+    std::deque<Host>& hosts() { return hosts_; }
+    Span tick() const { return std::min(w_.client_latency, w_.server_latency); }
+    Instant next() const { return events_.empty() ? never : events_.top().at; }
+
+    void run(Instant until) {
+        while (next() < until) {
+            const Event e = events_.top();
+            events_.pop();
+            now_ = e.at;
+            ++handled_;
+            handle(e);
+        }
+    }
+
+    // After a window: what the balancers ordered in it, host by host, so that the order is always the same.
+    void take_orders() {
+        for (int b = 0; b < static_cast<int>(hosts_.size()); ++b) {
+            for (const Order& o : hosts_[b].orders()) {
+                // A host that dies is told so a latency later; what it did in between never happened.
+                if (!alive_[b] || o.at < born_after_[static_cast<size_t>(b)]) continue;
+                obey(b, o);
+            }
+            hosts_[b].orders().clear();
+        }
+    }
+    void hand_out() {
+        for (auto& [b, n] : outbox_) hosts_[b].tell(std::move(n));
+        outbox_.clear();
+    }
+
+    void finish(Instant end) {
+        for (Machine& m : machines_) m.work_left(end);
+        judge_falls(end);
+        ledger_.finish(end);
+        out_.judge(w_, ledger_);
+        out_.calls = ledger_.calls();
+        out_.events = handled_;
+        for (const Host& h : hosts_) {
+            out_.events += h.events();
+            const uint64_t d = h.digest();
+            out_.digest = XXH64(&d, sizeof d, out_.digest);
+        }
+        const double sums[] = {out_.asked, out_.served};
+        out_.digest = XXH64(sums, sizeof sums, out_.digest);
+    }
+
+   private:
+    struct Client {
+        enum class State { away, asking, up, over } state = State::away;
+        std::optional<Patience> patience;
+        uint64_t call = 0;
+        uint32_t tries = 0;
+        bool again = false;
+    };
+    struct Leg {
+        int number = -1, server = -1;
+        bool here = false, standing = false;  // its line has come; it was answered UP
+    };
+    struct Call {
+        size_t session;
+        int balancer;
+        uint64_t stamp;         // of the balancer's life
+        std::vector<Leg> legs;  // the latest last; an earlier one whose end is still on its way before it
+        bool client_gone = false;
+        Leg* leg(int number) {
+            const auto it =
+                std::find_if(legs.begin(), legs.end(), [&](const Leg& l) { return l.number == number; });
+            return it == legs.end() ? nullptr : &*it;
+        }
+    };
+
+    void add(Event e) {
+        e.order = counted_++;
+        events_.push(e);
+    }
+    void tell(int balancer, News n) {
+        if (alive_[balancer] || n.what == News::What::dies || n.what == News::What::list)
+            outbox_.emplace_back(balancer, std::move(n));
+    }
+    News news(News::What what, uint64_t call, int leg, Span after) const {
+        News n{what, now_ + after};
+        n.call = call;
+        n.leg = leg;
+        return n;
+    }
+    Call* find(uint64_t id) {
+        const auto it = calls_.find(id);
+        return it == calls_.end() ? nullptr : &it->second;
+    }
+    Instant end() const { return Instant{} + w_.length; }
+
+    void handle(const Event& e) {
+        using What = Event::What;
+        switch (e.what) {
+            case What::session_begins: {
+                const Session& s = sessions_[e.id];
+                asked_[s.type] += 1;
+                clients_[e.id].patience.emplace(w_.traffic, std::min(s.until, end()));
+                return come(e.id);
+            }
+            case What::session_ends: return end_session(e.id);
+            case What::comes: return come(e.id);
+            case What::guard_over: return guard_over(e.id);
+            case What::answer: return answer(e);
+            case What::connected: return connected(e);
+            case What::line_came: return line_came(e);
+            case What::closed: return leg_closed(e);
+            case What::set_up_done: return set_up_done(e);
+            case What::deed: return do_deed(out_.deeds[e.id]);
+            case What::told: return tell_list(e);
+            case What::deemed: return ledger_.told_unwanted(now_, e.balancer, e.server);
+            case What::sample: return sample();
+            case What::silence: return silence(e);
+            case What::front_learns: front_up_[e.balancer] = alive_[e.balancer]; return;
+        }
+    }
+
+    // ---- clients ----
+
+    void come(size_t who) {
+        Client& c = clients_[who];
+        const Session& s = sessions_[who];
+        if (c.state != Client::State::away) return;
+        const int b = front(s.zone);
+        if (b < 0 || !alive_[b]) return failed_try(who, now_ + w_.client_latency * 2);
+        c.call = (static_cast<uint64_t>(who) + 1) << 20 | (++c.tries & 0xfffff);
+        c.state = Client::State::asking;
+        calls_[c.call] = {who, b, stamps_[b], {}, false};
+        ledger_.opened(now_, c.call, s.type, b);
+        News n = news(News::What::call, c.call, -1, w_.client_latency);
+        n.session = &s;
+        n.again = c.again;
+        tell(b, std::move(n));
+        add({Event::What::guard_over, now_ + w_.traffic.types[s.type].guard_time, 0, c.call});
+    }
+
+    int front(int zone) {
+        std::vector<int> near, all;
+        for (int b = 0; b < w_.balancers; ++b)
+            if (front_up_[b]) all.push_back(b), b % w_.zones == zone ? near.push_back(b) : void();
+        const std::vector<int>& from = near.empty() ? all : near;
+        return from.empty() ? -1
+                            : from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
+    }
+
+    void failed_try(size_t who, Instant at) {
+        Client& c = clients_[who];
+        c.state = Client::State::away;
+        again(who, c.patience->after_failure(at, chance_));
+    }
+    void again(size_t who, std::optional<Instant> at) {
+        if (at) return add({Event::What::comes, *at, 0, who});
+        out_.gave_up += clients_[who].patience->gave_up();
+        clients_[who].state = Client::State::over;
+    }
+
+    void leave_call(uint64_t id, bool waited) {
+        Call* call = find(id);
+        if (!call || call->client_gone) return;
+        call->client_gone = true;
+        ledger_.client_left(id, waited);
+        tell(call->balancer, news(News::What::call_gone, id, -1, w_.client_latency));
+        drop_if_over(id);
+    }
+
+    void end_session(size_t who) {
+        Client& c = clients_[who];
+        asked_[sessions_[who].type] -= 1;
+        if (c.state == Client::State::asking || c.state == Client::State::up) leave_call(c.call, false);
+        c.state = Client::State::over;
+    }
+
+    void guard_over(uint64_t id) {
+        Call* call = find(id);
+        if (!call || call->client_gone) return;
+        const size_t who = call->session;
+        if (clients_[who].call != id || clients_[who].state != Client::State::asking) return;
+        leave_call(id, true);
+        failed_try(who, now_);
+    }
+
+    void answer(const Event& e) {
+        Call* call = find(e.id);
+        if (!call || call->client_gone) return;
+        const size_t who = call->session;
+        Client& c = clients_[who];
+        if (c.call != e.id) return;
+        const Session& s = sessions_[who];
+        using What = Order::What;
+        if (e.answer_kind == What::up) {
+            ledger_.answered(now_, e.id, Answer::up);
+            ++out_.up;
+            c.state = Client::State::up;
+            c.patience->came_up();
+            return;
+        }
+        const bool stood = c.state == Client::State::up;
+        call->client_gone = true;
+        c.state = Client::State::away;
+        ledger_.answered(now_, e.id,
+                         e.answer_kind == What::busy     ? Answer::busy
+                         : e.answer_kind == What::failed ? Answer::failed
+                                                         : Answer::ended);
+        drop_if_over(e.id);
+        if (now_ >= std::min(s.until, end())) return;
+        switch (e.answer_kind) {
+            case What::busy: ++out_.busy; return again(who, c.patience->after_busy(now_, e.span, chance_));
+            case What::failed: ++out_.failed; return again(who, c.patience->after_failure(now_, chance_));
+            default:
+                ++(e.answer_kind == What::moved ? out_.moved : out_.broken);
+                c.again = true;
+                return again(who, stood ? c.patience->after_break(now_, chance_)
+                                        : c.patience->after_failure(now_, chance_));
+        }
+    }
+
+    // A call's last leg and its client both gone: nothing more comes of it.
+    void drop_if_over(uint64_t id) {
+        const Call* call = find(id);
+        if (call && call->client_gone && call->legs.empty()) calls_.erase(id);
+    }
+
+    // ---- balancers' orders ----
+
+    void obey(int b, const Order& o) {
+        Call* call = find(o.call);
+        if (!call || call->balancer != b || call->stamp != stamps_[b]) return;
+        using What = Order::What;
+        Event e{Event::What::answer, o.at + w_.client_latency, 0, o.call};
+        e.server = o.server;
+        e.leg = o.leg;
+        e.balancer = b;
+        e.span = o.span;
+        switch (o.what) {
+            case What::connect: e.what = Event::What::connected; break;
+            case What::line: e.what = Event::What::line_came; break;
+            case What::close: e.what = Event::What::closed; break;
+            default: e.answer_kind = o.what; return add(e);
+        }
+        e.at = o.at + server_latency(b, o.server);
+        add(e);
+    }
+
+    Span server_latency(int b, int server) const {
+        return b % w_.zones == server % w_.zones ? w_.server_latency : w_.server_latency * 2;
+    }
+
+    void connected(const Event& e) {
+        Call* call = find(e.id);
+        if (!call) return;
+        call->legs.push_back({e.leg, e.server, false, false});
+        const Machine& m = machines_[e.server];
+        if (m.mode() == Mode::vanished) return;
+        const Span back = server_latency(e.balancer, e.server);
+        if (m.mode() == Mode::dead) return leg_ends(e.id, e.leg, Ending::connect_failed);
+        tell(e.balancer, news(News::What::accepted, e.id, e.leg, back));
+    }
+
+    void line_came(const Event& e) {
+        Call* call = find(e.id);
+        Leg* leg = call ? call->leg(e.leg) : nullptr;
+        if (!leg) return;
+        ++out_.legs;
+        ledger_.leg_began(now_, e.id, e.server, e.balancer);
+        ledger_.leg_ran(now_, e.id, e.server);
+        leg->here = true;
+        const Session& s = sessions_[call->session];
+        using How = Machine::SetUp::How;
+        const auto [how, at] = machines_[e.server].open(now_, e.id, s.type, s.load, s.group, e.span);
+        if (how == How::refused) return leg_ends(e.id, e.leg, Ending::reset);
+        if (how == How::silent) return;
+        Event done{Event::What::set_up_done, at, 0, e.id};
+        done.server = e.server;
+        done.leg = e.leg;
+        done.balancer = e.balancer;
+        done.stamp = how == How::up ? 0 : how == How::busy ? 1 : 2;
+        add(done);
+    }
+
+    void set_up_done(const Event& e) {
+        Call* call = find(e.id);
+        Leg* leg = call ? call->leg(e.leg) : nullptr;
+        if (!leg || !leg->here) return;
+        Machine& m = machines_[e.server];
+        if (m.mode() == Mode::hanging) {  // said when it goes on
+            Event later = e;
+            later.at = now_ + millis(20);
+            return add(later);
+        }
+        if (e.stamp == 1) ledger_.leg_turned_away(e.id, e.server);
+        if (e.stamp > 0) return leg_ends(e.id, e.leg, e.stamp == 1 ? Ending::full : Ending::error);
+        leg->standing = true;
+        standing_[e.server].push_back(e.id);
+        const Span back = server_latency(e.balancer, e.server);
+        tell(e.balancer, news(News::What::up, e.id, e.leg, back));
+        const Session& s = sessions_[call->session];
+        const Client& c = clients_[call->session];
+        out_.up_in_time += c.call == e.id && in_time(s, e.id);
+        if (!w_.tells_load) return;
+        News load = news(News::What::load, e.id, e.leg, back);
+        load.figure = s.load;
+        tell(e.balancer, std::move(load));
+    }
+
+    bool in_time(const Session& s, uint64_t id) {
+        return now_ - opened_at(id) <= w_.traffic.types[s.type].setup_target;
+    }
+    Instant opened_at(uint64_t id) const { return ledger_.opened_at(id); }
+
+    // The server's side of a leg is gone, by itself or because the balancer closed it.
+    void take_off(uint64_t id, int number) {
+        Call* call = find(id);
+        const Leg* found = call ? call->leg(number) : nullptr;
+        if (!found) return;
+        const Leg leg = *found;
+        std::erase_if(call->legs, [&](const Leg& l) { return l.number == number; });
+        if (leg.here) {
+            machines_[leg.server].close(now_, id);
+            ledger_.leg_over(now_, id, leg.server);
+        }
+        if (leg.standing) std::erase(standing_[leg.server], id);
+        drop_if_over(id);
+    }
+    void leg_ends(uint64_t id, int number, Ending ending) {
+        Call* call = find(id);
+        const Leg* leg = call ? call->leg(number) : nullptr;
+        if (!leg) return;
+        News n = news(News::What::over, id, number, server_latency(call->balancer, leg->server));
+        n.ending = ending;
+        tell(call->balancer, std::move(n));
+        take_off(id, number);
+    }
+    void leg_closed(const Event& e) { take_off(e.id, e.leg); }
+
+    std::vector<std::pair<uint64_t, int>> legs_on(int server) const {
+        std::vector<std::pair<uint64_t, int>> all;
+        for (const auto& [id, call] : calls_)
+            for (const Leg& leg : call.legs)
+                if (leg.server == server) all.emplace_back(id, leg.number);
+        std::sort(all.begin(), all.end());
+        return all;
+    }
+    void break_all(int server) {
+        for (const auto& [id, number] : legs_on(server)) leg_ends(id, number, Ending::reset);
+    }
+
+    // ---- troubles ----
+
+    void do_deed(const Deed& d) {
+        using What = Deed::What;
+        switch (d.what) {
+            case What::die: machines_[d.target].set_mode(now_, Mode::dead); return break_all(d.target);
+            case What::vanish:
+            case What::hang:
+                machines_[d.target].set_mode(now_, d.what == What::hang ? Mode::hanging : Mode::vanished);
+                return falls_silent(d.target);
+            case What::answer_again:
+                ++silent_stamp_[d.target];
+                return machines_[d.target].set_mode(now_, Mode::running);
+            case What::start_cold:
+                ++silent_stamp_[d.target];
+                if (machines_[d.target].mode() == Mode::vanished) break_all(d.target);
+                return machines_[d.target].start_cold(now_);
+            case What::speed: return machines_[d.target].set_speed(now_, d.size);
+            case What::errors: return machines_[d.target].set_errors(d.size);
+            case What::full: return machines_[d.target].set_full(d.size > 0);
+            case What::drain: return machines_[d.target].set_mode(now_, Mode::draining);
+            case What::move_one_part: return move_part(d);
+            case What::list_gone:
+            case What::list_draining:
+            case What::list_serving: return list_changes(d);
+            case What::list_silent:
+            case What::list_garbled: list_down_ = true; return;
+            case What::list_back: return tell_whole(first_list_);
+            case What::list_sound: list_down_ = false; return tell_whole(list_);
+            case What::clients_drop: return clients_drop(d.size);
+            case What::balancer_dies: return balancer_dies(d.target);
+            case What::balancer_starts: return balancer_starts(d.target);
+        }
+    }
+
+    void move_part(const Deed& d) {
+        std::vector<uint64_t> on = standing_[d.target];
+        std::sort(on.begin(), on.end());
+        const auto moves = static_cast<size_t>(static_cast<double>(on.size()) * d.size + 0.5);
+        for (size_t k = 0; k < std::min(moves, on.size()); ++k)
+            leg_ends(on[k], calls_.at(on[k]).legs.back().number, Ending::stopped);
+    }
+
+    void clients_drop(double part) {
+        for (size_t who = 0; who < clients_.size(); ++who) {
+            Client& c = clients_[who];
+            if (c.state != Client::State::up || chance_.uniform() >= part) continue;
+            leave_call(c.call, false);
+            c.state = Client::State::away;
+            c.again = true;
+            again(who, c.patience->after_break(now_, chance_));
+        }
+    }
+
+    // Clients speak every so often, and the balancer waits a while for what they are owed.
+    void falls_silent(int server) {
+        const uint64_t stamp = ++silent_stamp_[server];
+        std::vector<std::vector<std::pair<Instant, uint64_t>>> spoken(w_.balancers);
+        std::vector<uint64_t> on = standing_[server];
+        std::sort(on.begin(), on.end());
+        for (const uint64_t id : on) {
+            const Call& call = *find(id);
+            const Span every = w_.traffic.types[sessions_[call.session].type].message_every;
+            spoken[call.balancer].emplace_back(now_ + every * chance_.uniform(), id);
+        }
+        for (int b = 0; b < w_.balancers; ++b) {
+            auto& said = spoken[b];
+            if (said.empty()) continue;
+            std::sort(said.begin(), said.end());
+            Event e{Event::What::silence, said[0].first + longest_silence, 0, 0};
+            e.server = server;
+            e.balancer = b;
+            e.stamp = stamp;
+            if (said.size() > 1)
+                e.at = std::min(e.at, std::max(said[0].first + longest_quiet, said[1].first + shortest_sign));
+            add(e);
+        }
+    }
+    void silence(const Event& e) {
+        if (e.stamp != silent_stamp_[e.server]) return;
+        News n = news(News::What::silent, 0, -1, tick());
+        n.server = e.server;
+        tell(e.balancer, std::move(n));
+    }
+
+    void balancer_dies(int b) {
+        if (!alive_[b]) return;
+        ledger_.balancer_died(b);
+        tell(b, news(News::What::dies, 0, -1, tick()));
+        alive_[b] = 0;
+        ++stamps_[b];
+        Event learns{Event::What::front_learns, now_ + front_notice};
+        learns.balancer = b;
+        add(learns);
+        std::vector<uint64_t> held;
+        for (const auto& [id, call] : calls_)
+            if (call.balancer == b) held.push_back(id);
+        std::sort(held.begin(), held.end());
+        for (const uint64_t id : held) {
+            Call& call = calls_.at(id);
+            const size_t who = call.session;
+            Client& c = clients_[who];
+            const bool present = !call.client_gone && c.call == id;
+            call.client_gone = true;
+            for (const Leg& leg : std::vector<Leg>(call.legs)) take_off(id, leg.number);
+            calls_.erase(id);
+            if (!present || c.state == Client::State::over) continue;
+            const bool stood = c.state == Client::State::up;
+            c.state = Client::State::away;
+            c.again = true;
+            ++out_.broken;
+            again(who,
+                  stood ? c.patience->after_break(now_, chance_) : c.patience->after_failure(now_, chance_));
+        }
+    }
+    void balancer_starts(int b) {
+        if (alive_[b]) return;
+        alive_[b] = 1;
+        born_after_[static_cast<size_t>(b)] = now_;
+        News starts = news(News::What::starts, 0, -1, tick() * 2);
+        outbox_.emplace_back(b, std::move(starts));
+        if (!list_down_) tell_whole(list_, b);
+        Event learns{Event::What::front_learns, now_ + tick() * 4};
+        learns.balancer = b;
+        add(learns);
+    }
+
+    // ---- the list ----
+
+    void list_changes(const Deed& d) {
+        Listed& l = list_[d.target];
+        if (machines_[d.target].fell() && d.what == Deed::What::list_serving) return;
+        l.condition = d.what == Deed::What::list_serving    ? Condition::active
+                      : d.what == Deed::What::list_draining ? Condition::leaving
+                                                            : Condition::left;
+        if (d.what == Deed::What::list_serving) l.launched = machines_[d.target].started();
+        if (list_down_) return;  // the whole list comes when it is up again
+        for (int b = 0; b < w_.balancers; ++b) {
+            Event e{Event::What::told,
+                    now_ + w_.add_notice * (w_.notice_spread * chance_.uniform()) + tick()};
+            e.server = d.target;
+            e.balancer = b;
+            add(e);
+        }
+    }
+    void tell_list(const Event& e) {
+        if (list_down_) return;
+        const Listed& l = list_[e.server];
+        News n = news(News::What::list, 0, -1, tick());
+        n.list = std::make_shared<std::vector<Listed>>(1, l);
+        n.kind = ListKind::partial;
+        tell(e.balancer, std::move(n));
+        note_told(e.balancer, l);
+    }
+    void note_told(int b, const Listed& l) {
+        const int k = place_of(l.server);
+        l.condition == Condition::active ? ledger_.told_wanted(b, k)
+                                         : ledger_.told_unwanted(now_ + tick(), b, k);
+    }
+    void tell_whole(const std::vector<Listed>& list, int only = -1) {
+        const auto shared = std::make_shared<std::vector<Listed>>(list);
+        for (int b = 0; b < w_.balancers; ++b) {
+            if (only >= 0 && b != only) continue;
+            News n = news(News::What::list, 0, -1, tick() * 3);
+            n.list = shared;
+            n.kind = ListKind::complete;
+            tell(b, std::move(n));
+            for (const Listed& l : list) note_told(b, l);
+        }
+    }
+
+    // ---- looks ----
+
+    void judge_falls(Instant at) {
+        for (int k = 0; k < w_.servers; ++k)
+            if (machines_[k].fell()) ledger_.fell(at, k);
+    }
+
+    void sample() {
+        double asked = 0, served = 0;
+        const std::vector<TypeRow>& types = w_.traffic.types;
+        for (size_t t = 0; t < types.size(); ++t) asked += asked_[t] * types[t].revenue;
+        std::vector<float> use;
+        const bool second = now_.ns % whole_second.ns == 0;
+        double least = 1e9;
+        for (const TypeRow& t : types) least = std::min(least, in_seconds(t.message_target));
+        for (int k = 0; k < w_.servers; ++k) {
+            Machine& m = machines_[k];
+            const Mode before = m.mode();
+            m.work_left(now_);
+            if (m.mode() != before) break_all(k);  // it fell
+            const Span delay = m.answers() ? m.delay(now_) : seconds(100);
+            if (second) use.push_back(m.answers() ? static_cast<float>(m.asked() / m.capacity(now_)) : -1.f);
+            if (m.connections() == 0) continue;
+            for (size_t t = 0; t < types.size(); ++t) {
+                const int n = m.by_type()[t];
+                if (n == 0) continue;
+                if (m.answers()) ledger_.message(static_cast<int>(t), delay, static_cast<uint64_t>(n));
+                if (well_served(types[t], delay)) served += n * types[t].revenue;
+            }
+            if (!m.answers()) continue;
+            if (second && w_.tells_delay && in_seconds(delay) > least / 3) tell_delay(k, delay);
+            if (delay > longest_silence) too_slow(k);
+        }
+        if (second) out_.use_each.push_back(std::move(use));
+        judge_falls(now_);
+        out_.sample(w_, now_, asked, std::min(served, asked));
+        add({Event::What::sample, now_ + sample_every});
+    }
+
+    void tell_delay(int server, Span delay) {
+        std::vector<char> told(w_.balancers);
+        for (const uint64_t id : standing_[server]) {
+            const int b = find(id)->balancer;
+            if (std::exchange(told[b], 1)) continue;
+            News n = news(News::What::delay, 0, -1, w_.server_latency);
+            n.server = server;
+            n.figure = in_seconds(delay) * 1000;
+            tell(b, std::move(n));
+        }
+    }
+
+    // Whoever speaks now waits longer for its answer than the balancer bears.
+    void too_slow(int server) {
+        std::vector<uint64_t> on = standing_[server];
+        std::sort(on.begin(), on.end());
+        for (const uint64_t id : on) {
+            const Call& call = *find(id);
+            const Span every = w_.traffic.types[sessions_[call.session].type].message_every;
+            if (chance_.uniform() >= sample_every / every) continue;
+            tell(call.balancer, news(News::What::silent, id, -1, tick()));
+        }
+    }
+
+    const World& w_;
+    Outcome& out_;
+    Pcg32 chance_;
+    std::vector<Session> sessions_;
+    std::vector<Client> clients_;
+    Ledger ledger_;
+    std::vector<Machine> machines_;
+    std::deque<Host> hosts_;  // their policies hold on to where they are
+    std::vector<Listed> first_list_, list_;
+    bool list_down_ = false;
+    std::vector<char> front_up_, alive_;
+    std::vector<uint64_t> stamps_, silent_stamp_;
+    std::vector<Instant> born_after_ = std::vector<Instant>(static_cast<size_t>(w_.balancers));
+    std::vector<std::vector<uint64_t>> standing_;  // calls on each server
+    std::vector<double> asked_;                    // sessions that want service, by type
+    std::unordered_map<uint64_t, Call> calls_;
+    std::vector<std::pair<int, News>> outbox_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    uint64_t counted_ = 0, handled_ = 0;
+    Instant now_;
+};
+
+}  // namespace
+
+Outcome run(const World& w, const Arm& arm, uint64_t seed, int threads, const std::atomic<bool>* stop) {
+    const auto began = std::chrono::steady_clock::now();
+    Outcome out;
+    out.arm = arm.name;
+    out.on = "model";
+    out.seed = seed;
+    Universe u(w, arm, seed, out);
+    Crew crew(threads);
+    std::deque<Host>& hosts = u.hosts();
+    std::vector<size_t> due;
+    const Span tick = u.tick();
+    const Instant end = Instant{} + w.length;
+    Instant reached;
+    while (true) {
+        Instant next = u.next();
+        for (const Host& h : hosts) next = std::min(next, h.next());
+        if (next >= end) break;
+        if (stop && stop->load()) {
+            out.partial = true;
+            break;
+        }
+        const Instant until = std::min(end, Instant{(next.ns / tick.ns + 1) * tick.ns});
+        due.clear();
+        for (size_t b = 0; b < hosts.size(); ++b)
+            if (hosts[b].next() < until) due.push_back(b);
+        crew.run(due.size() + 1, [&](size_t k) { k == 0 ? u.run(until) : hosts[due[k - 1]].run(until); });
+        u.take_orders();
+        u.hand_out();
+        reached = until;
+    }
+    u.finish(out.partial ? reached : end);
+    out.wall_seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+    return out;
+}
+
+}  // namespace headrouter::model
--- /dev/null
+++ b/src/standin/crowd.cpp
@@ -0,0 +1,302 @@
+#include "standin/crowd.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstdio>
+
+#include "net/opening.h"
+
+namespace headrouter::standin {
+using namespace fleet;
+
+namespace {
+constexpr Span remembered = seconds(30), connect_patience = seconds(1);
+}
+
+Crowd::Crowd(Agenda& agenda, const World& world, std::vector<Session> sessions, uint64_t seed, Ledger& ledger,
+             Outcome& out)
+    : agenda_(agenda),
+      world_(world),
+      sessions_(std::move(sessions)),
+      chance_(seed, 31),
+      ledger_(ledger),
+      out_(out),
+      farewell_(agenda.loop()),
+      clients_(sessions_.size()) {}
+
+Crowd::~Crowd() { *alive_ = false; }
+
+void Crowd::add_balancer(std::string at) {
+    const auto address = Address::from(at);
+    balancers_.push_back({std::move(at), *address, true});
+}
+
+void Crowd::start() {
+    for (size_t who = 0; who < sessions_.size(); ++who) {
+        clients_[who].patience.emplace(world_.traffic, sessions_[who].until);
+        agenda_.at(sessions_[who].from, [this, who, alive = alive_] {
+            if (*alive) come(who);
+        });
+        agenda_.at(sessions_[who].until, [this, who, alive = alive_] {
+            if (*alive) end_session(who);
+        });
+    }
+}
+
+int Crowd::choose(int zone) {
+    std::vector<int> near, all;
+    for (int b = 0; b < static_cast<int>(balancers_.size()); ++b)
+        if (balancers_[b].sends) all.push_back(b), b % world_.zones == zone ? near.push_back(b) : void();
+    const std::vector<int>& from = near.empty() ? all : near;
+    return from.empty() ? -1
+                        : from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
+}
+
+std::string Crowd::opening(const Client& c, const Session& s) const {
+    char id[20];
+    std::snprintf(id, sizeof id, "%016lx", static_cast<unsigned long>(c.call));
+    const TypeRow& row = world_.traffic.types[s.type];
+    std::string line = "OPEN " + std::string(id) + " " + s.key + " c=" + row.name + ",t=t" +
+                       std::to_string(s.tenant) + ",d=" + std::to_string(row.guard_time.ns / 1'000'000);
+    if (!s.group.empty()) line += ",g=" + s.group;
+    if (c.again) line += ",again=1";
+    return line + "\r\n";
+}
+
+void Crowd::come(size_t who) {
+    Client& c = clients_[who];
+    const Session& s = sessions_[who];
+    if (stopped_ || c.state != Client::State::away || agenda_.now() >= s.until) return;
+    const int b = choose(s.zone);
+    if (b < 0) return away(who, c.patience->after_failure(agenda_.now(), chance_));
+    Fd fd = connect_to(balancers_[b].address);
+    if (!fd) {
+        // What the rig itself is short of must not be laid to the balancer.
+        if (errno == EMFILE || errno == ENFILE) short_of_ = "descriptors";
+        if (errno == EADDRNOTAVAIL || errno == EAGAIN) short_of_ = "ports";
+        return away(who, c.patience->after_failure(agenda_.now(), chance_));
+    }
+    c.call = (static_cast<uint64_t>(who) + 1) << 20 | (++c.tries & 0xfffff);
+    c.balancer = b;
+    c.state = Client::State::connecting;
+    c.spoken.clear();
+    c.last_delay = Span{};
+    c.moved = false;
+    c.line.reset(new LineConn(agenda_.loop(), std::move(fd), *this, who));
+    c.line->start(true);
+    agenda_.in(connect_patience, [this, who, call = c.call, alive = alive_] {
+        if (!*alive || clients_[who].call != call || clients_[who].state != Client::State::connecting) return;
+        hang_up(who);
+        away(who, clients_[who].patience->after_failure(agenda_.now(), chance_));
+    });
+}
+
+void Crowd::conn_came_up(LineConn& line) {
+    const size_t who = line.id();
+    Client& c = clients_[who];
+    const Session& s = sessions_[who];
+    c.state = Client::State::asking;
+    const std::string text = opening(c, s);
+    sent_[c.call] = {who, c.balancer, text, false, -1};
+    line.send(text);
+    c.opened = agenda_.now();
+    ledger_.opened(c.opened, c.call, s.type, c.balancer);
+    agenda_.in(world_.traffic.types[s.type].guard_time + millis(50),
+               [this, who, call = c.call, alive = alive_] {
+                   if (*alive) guard_over(who, call);
+               });
+}
+
+void Crowd::guard_over(size_t who, uint64_t call) {
+    Client& c = clients_[who];
+    if (c.call != call || c.state != Client::State::asking) return;
+    ledger_.client_left(call, true);
+    hang_up(who);
+    away(who, c.patience->after_failure(agenda_.now(), chance_));
+}
+
+void Crowd::bytes_came(LineConn& line, std::string_view bytes, bool whole) {
+    const size_t who = line.id();
+    Client& c = clients_[who];
+    const std::string_view text = without_end(bytes);
+    if (c.state == Client::State::asking) return answered(who, text);
+    if (c.state != Client::State::up || !whole) return void(++garbled_);
+    if (c.moved) return ledger_.line_after_answer(agenda_.now(), c.call);
+    if (text.substr(0, 3) == "RE ") {
+        if (c.spoken.empty()) return void(++garbled_);
+        c.last_delay = agenda_.now() - c.spoken.front();
+        c.spoken.pop_front();
+        return ledger_.message(sessions_[who].type, c.last_delay);
+    }
+    if (text == "MOVE") return void(c.moved = true);
+    if (text.substr(0, 5) != "LOAD " && text != "BYE") ++garbled_;
+}
+
+void Crowd::answered(size_t who, std::string_view text) {
+    Client& c = clients_[who];
+    const Instant now = agenda_.now();
+    if (text.substr(0, 3) == "UP ") {
+        ledger_.answered(now, c.call, Answer::up);
+        ++out_.up;
+        out_.up_in_time += now - c.opened <= world_.traffic.types[sessions_[who].type].setup_target;
+        c.state = Client::State::up;
+        c.patience->came_up();
+        const Span every = world_.traffic.types[sessions_[who].type].message_every;
+        agenda_.in(every * chance_.uniform(), [this, who, call = c.call, alive = alive_] {
+            if (*alive) speak(who, call);
+        });
+        return;
+    }
+    const bool busy = text.substr(0, 4) == "BUSY";
+    ledger_.answered(now, c.call, busy ? Answer::busy : Answer::failed);
+    ++(busy ? out_.busy : out_.failed);
+    int64_t ms = 0;
+    if (busy && text.size() > 5) std::from_chars(text.data() + 5, text.data() + text.size(), ms);
+    hang_up(who);
+    away(who, busy ? c.patience->after_busy(now, millis(static_cast<double>(ms)), chance_)
+                   : c.patience->after_failure(now, chance_));
+}
+
+void Crowd::speak(size_t who, uint64_t call) {
+    Client& c = clients_[who];
+    if (c.call != call || c.state != Client::State::up || c.moved) return;
+    c.spoken.push_back(agenda_.now());
+    c.line->send("SAY " + std::to_string(c.spoken.size()) + "\r\n");
+    agenda_.in(world_.traffic.types[sessions_[who].type].message_every, [this, who, call, alive = alive_] {
+        if (*alive) speak(who, call);
+    });
+}
+
+void Crowd::conn_ended(LineConn& line, How) {
+    const size_t who = line.id();
+    Client& c = clients_[who];
+    const Instant now = agenda_.now();
+    const Client::State was = c.state;
+    if (was == Client::State::asking) ledger_.answered(now, c.call, Answer::ended);
+    if (was == Client::State::up) {
+        const auto sent = sent_.find(c.call);
+        const bool by_server = sent != sent_.end() && sent->second.ended_by_server;
+        const int server = sent != sent_.end() ? sent->second.server : -1;
+        if (!c.moved && !by_server) ledger_.cut(now, c.call, server >= 0 && (!answers_ || answers_(server)));
+        ledger_.answered(now, c.call, Answer::ended);
+        ++(c.moved ? out_.moved : out_.broken);
+        c.again = true;
+    }
+    hang_up(who);
+    away(who, was == Client::State::up ? c.patience->after_break(now, chance_)
+                                       : c.patience->after_failure(now, chance_));
+}
+
+void Crowd::away(size_t who, std::optional<Instant> again) {
+    Client& c = clients_[who];
+    c.state = Client::State::away;
+    if (again && !stopped_)
+        return void(agenda_.at(*again, [this, who, alive = alive_] {
+            if (*alive) come(who);
+        }));
+    out_.gave_up += c.patience->gave_up();
+    c.state = Client::State::over;
+    ++over_;
+}
+
+void Crowd::hang_up(size_t who) {
+    Client& c = clients_[who];
+    if (!c.line) return;
+    c.line->finish();
+    farewell_.take(std::move(c.line));
+    old_.emplace_back(agenda_.now(), c.call);
+    while (!old_.empty() && agenda_.now() - old_.front().first > remembered) {
+        sent_.erase(old_.front().second);
+        old_.pop_front();
+    }
+}
+
+void Crowd::end_session(size_t who) {
+    Client& c = clients_[who];
+    if (c.state == Client::State::over) return;
+    if (c.state == Client::State::asking || c.state == Client::State::up) ledger_.client_left(c.call, false);
+    hang_up(who);
+    c.state = Client::State::over;
+    ++over_;
+}
+
+void Crowd::balancer_dies(int balancer) {
+    ledger_.balancer_died(balancer);
+    for (auto& [call, sent] : sent_)
+        if (sent.balancer == balancer) sent.ended_by_server = true;  // nobody is to blame for the cut
+}
+
+void Crowd::drop(double part) {
+    for (size_t who = 0; who < clients_.size(); ++who) {
+        Client& c = clients_[who];
+        if (c.state != Client::State::up || chance_.uniform() >= part) continue;
+        ledger_.client_left(c.call, false);
+        hang_up(who);
+        c.again = true;
+        away(who, c.patience->after_break(agenda_.now(), chance_));
+    }
+}
+
+void Crowd::stop() {
+    stopped_ = true;
+    for (size_t who = 0; who < clients_.size(); ++who) end_session(who);
+}
+
+size_t Crowd::up() const {
+    return static_cast<size_t>(std::count_if(clients_.begin(), clients_.end(),
+                                             [](const Client& c) { return c.state == Client::State::up; }));
+}
+
+// As in the model: up, and a message now would come back in time, as far as the client can tell.
+bool Crowd::served(const Client& c, const TypeRow& row, Instant now) const {
+    if (c.state != Client::State::up || !well_served(row, c.last_delay)) return false;
+    return c.spoken.empty() || now - c.spoken.front() <= row.message_target;
+}
+
+void Crowd::sample() {
+    const Instant now = agenda_.now();
+    double asked = 0, served_now = 0;
+    for (size_t who = 0; who < clients_.size(); ++who) {
+        const Session& s = sessions_[who];
+        if (now < s.from) break;  // they stand in the order in which they come
+        if (now >= s.until) continue;
+        const TypeRow& row = world_.traffic.types[s.type];
+        asked += row.revenue;
+        if (served(clients_[who], row, now)) served_now += row.revenue;
+    }
+    out_.sample(world_, now, asked, served_now);
+}
+
+// ---- what the servers see ----
+
+// The line must be the client's own but for the wait, which the balancer may shorten.
+SeenByServers::Opened Crowd::first_line(uint64_t call, std::string_view line) {
+    const auto it = sent_.find(call);
+    if (it == sent_.end()) return {};
+    const Session& s = sessions_[it->second.who];
+    Opened o{false, s.type, it->second.balancer, s.load, s.group};
+    const auto without_wait = [](std::string_view text) {
+        const size_t from = text.find(",d="), to = text.find_first_of(",\r", from + 1);
+        return std::string(text.substr(0, from)) + std::string(text.substr(to));
+    };
+    o.known = line.empty() || (line.find(",d=") != std::string_view::npos &&
+                               without_wait(line) == without_wait(it->second.line));
+    return o;
+}
+
+void Crowd::leg_began(uint64_t call, int server, int balancer) {
+    ++out_.legs;
+    if (const auto it = sent_.find(call); it != sent_.end()) it->second.server = server;
+    ledger_.leg_began(agenda_.now(), call, server, balancer);
+}
+void Crowd::leg_ran(uint64_t call, int server) { ledger_.leg_ran(agenda_.now(), call, server); }
+void Crowd::leg_turned_away(uint64_t call, int server) { ledger_.leg_turned_away(call, server); }
+void Crowd::leg_over(uint64_t call, int server, bool by_server) {
+    const auto it = sent_.find(call);
+    if (by_server && it != sent_.end()) it->second.ended_by_server = true;
+    ledger_.leg_over(agenda_.now(), call, server);
+}
+void Crowd::garbled(int, std::string_view) { ++garbled_; }
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/crowd.h
@@ -0,0 +1,106 @@
+// The clients of a rig: each session comes at its own time whatever the balancers do, opens a connection,
+// says what it wants, speaks every so often, and comes again after what befell it as its Patience says.
+#pragma once
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+#include "fleet/ledger.h"
+#include "fleet/outcome.h"
+#include "fleet/session.h"
+#include "net/line_conn.h"
+#include "standin/agenda.h"
+#include "standin/server.h"
+
+namespace headrouter::standin {
+
+class Crowd : public SeenByServers, private LineConn::Owner {
+   public:
+    // `front`: where the balancers listen, and whether clients are sent there; a zone's own come first.
+    Crowd(Agenda&, const fleet::World&, std::vector<fleet::Session>, uint64_t seed, fleet::Ledger&,
+          fleet::Outcome&);
+    ~Crowd() override;
+
+    void add_balancer(std::string at);
+    // Whether a server could answer; who is cut off from one that cannot is owed no MOVE.
+    void ask_servers(std::function<bool(int server)> answers) { answers_ = std::move(answers); }
+    void front_sends(int balancer, bool on) { balancers_[balancer].sends = on; }
+    void balancer_dies(int balancer);  // right before it does
+    void start();                      // from the agenda's beginning on
+    void sample();
+    void drop(double part);  // of those that are up: they end their connections and come again
+    void stop();             // ends all; nobody comes again
+
+    size_t up() const;
+    size_t over() const { return over_; }  // sessions that want nothing more
+    size_t sessions() const { return sessions_.size(); }
+    const std::string& short_of() const { return short_of_; }
+    uint64_t garbled_lines() const { return garbled_; }
+    uint64_t ids_seen_at_servers() const { return legs_; }
+
+    Opened first_line(uint64_t call, std::string_view) override;
+    void leg_began(uint64_t call, int server, int balancer) override;
+    void leg_ran(uint64_t call, int server) override;
+    void leg_turned_away(uint64_t call, int server) override;
+    void leg_over(uint64_t call, int server, bool by_server) override;
+    void garbled(int server, std::string_view line) override;
+
+   private:
+    struct Client {
+        enum class State { away, connecting, asking, up, over } state = State::away;
+        std::optional<fleet::Patience> patience;
+        std::unique_ptr<LineConn> line;
+        uint64_t call = 0;
+        int balancer = -1;
+        uint32_t tries = 0;
+        bool again = false, moved = false;
+        Instant opened;
+        std::deque<Instant> spoken;  // messages that have not come back
+        Span last_delay;
+    };
+    void bytes_came(LineConn&, std::string_view, bool whole) override;
+    void conn_ended(LineConn&, How) override;
+    void conn_came_up(LineConn&) override;
+    void come(size_t who);
+    void speak(size_t who, uint64_t call);
+    void guard_over(size_t who, uint64_t call);
+    void answered(size_t who, std::string_view line);
+    void away(size_t who, std::optional<Instant> again);
+    void hang_up(size_t who);
+    void end_session(size_t who);
+    int choose(int zone);
+    std::string opening(const Client&, const fleet::Session&) const;
+    bool served(const Client&, const fleet::TypeRow&, Instant now) const;
+
+    struct Place {
+        std::string at;
+        Address address;
+        bool sends = true;
+    };
+    Agenda& agenda_;
+    const fleet::World& world_;
+    std::vector<fleet::Session> sessions_;
+    Pcg32 chance_;
+    fleet::Ledger& ledger_;
+    fleet::Outcome& out_;
+    Farewell farewell_;
+    std::vector<Client> clients_;
+    std::vector<Place> balancers_;
+    struct Sent {
+        size_t who;
+        int balancer;
+        std::string line;
+        bool ended_by_server = false;
+        int server = -1;  // of its latest leg
+    };
+    std::unordered_map<uint64_t, Sent> sent_;  // by call, for the servers and for what comes late
+    std::deque<std::pair<Instant, uint64_t>> old_;
+    std::function<bool(int)> answers_;
+    std::string short_of_;
+    uint64_t garbled_ = 0, legs_ = 0;
+    size_t over_ = 0;
+    bool stopped_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/list_agent.cpp
@@ -0,0 +1,197 @@
+#include "standin/list_agent.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <sstream>
+
+#include "standin/server.h"
+
+namespace headrouter::standin {
+
+namespace {
+
+constexpr Span late_by = seconds(4), longest_watch = seconds(60);
+constexpr int64_t versions_back = 40;
+
+const char* state_word(Condition c) {
+    return c == Condition::active ? "SERVING" : c == Condition::leaving ? "DRAINING" : "DELETED";
+}
+
+}  // namespace
+
+ListAgent::ListAgent(Agenda& agenda, std::string at, std::vector<Entry> first,
+                     std::function<void(const std::vector<Entry>&, bool)> told)
+    : agenda_(agenda),
+      first_(std::move(first)),
+      told_(std::move(told)),
+      acceptor_(agenda.loop(), std::move(at), [this](Fd fd) { taken(std::move(fd)); }) {
+    for (const Entry& e : first_) entries_[e.listed.server] = {version_, e};
+}
+
+ListAgent::~ListAgent() {
+    *alive_ = false;
+    for (auto& [id, call] : calls_) ev_io_stop(agenda_.loop(), &call->io);
+}
+
+void ListAgent::taken(Fd fd) {
+    const uint64_t id = ++last_;
+    auto& call = *(calls_[id] = std::make_unique<Call>());
+    call.agent = this;
+    call.id = id;
+    call.fd = std::move(fd);
+    http_parser_init(&call.parser, HTTP_REQUEST);
+    call.parser.data = &call;
+    ev_io_init(
+        &call.io,
+        [](struct ev_loop*, ev_io* w, int) {
+            auto* c = static_cast<Call*>(w->data);
+            c->agent->readable(c->id);
+        },
+        call.fd.get(), EV_READ);
+    call.io.data = &call;
+    ev_io_start(agenda_.loop(), &call.io);
+}
+
+void ListAgent::drop(uint64_t id) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    ev_io_stop(agenda_.loop(), &it->second->io);
+    if (it->second->waiting) --watches_, agenda_.cancel(it->second->over);
+    calls_.erase(it);
+}
+
+void ListAgent::readable(uint64_t id) {
+    static const http_parser_settings hooks = [] {
+        http_parser_settings h;
+        http_parser_settings_init(&h);
+        h.on_url = [](http_parser* p, const char* bytes, size_t n) {
+            static_cast<Call*>(p->data)->url.append(bytes, n);
+            return 0;
+        };
+        h.on_message_complete = [](http_parser* p) {
+            static_cast<Call*>(p->data)->complete = true;
+            return 0;
+        };
+        return h;
+    }();
+    Call& call = *calls_.at(id);
+    char bytes[4096];
+    const ssize_t n = recv(call.fd.get(), bytes, sizeof bytes, 0);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+    if (n <= 0) return drop(id);
+    if (http_parser_execute(&call.parser, &hooks, bytes, static_cast<size_t>(n)) != static_cast<size_t>(n))
+        return drop(id);
+    if (!call.complete) return;
+    call.complete = false;
+    asked(call);
+}
+
+void ListAgent::asked(Call& call) {
+    ++asked_;
+    const std::string url = std::exchange(call.url, {});
+    const size_t question = url.find('?');
+    std::string query = question == std::string::npos ? "" : "," + url.substr(question + 1);
+    for (char& c : query)
+        if (c == '&') c = ',';
+    const int64_t since = field_of(query, "since"), wait = field_of(query, "timeout_ms");
+    const uint64_t id = call.id;
+    if (manner_ == Manner::silent) return;
+    if (manner_ == Manner::late)
+        return void(agenda_.in(late_by, [this, id, alive = alive_] {
+            if (*alive) answer(id, 0, true);
+        }));
+    if (manner_ == Manner::garbled || manner_ == Manner::back || since < 0 || wait <= 0 || since != version_)
+        return answer(id, since, since < 0);
+    call.waiting = true;
+    call.since = since;
+    ++watches_;
+    call.over =
+        agenda_.in(std::min(longest_watch, millis(static_cast<double>(wait))), [this, id, alive = alive_] {
+            const auto it = *alive ? calls_.find(id) : calls_.end();
+            if (!*alive || it == calls_.end()) return;
+            it->second->waiting = false;
+            --watches_;
+            answer(id, it->second->since, false);
+        });
+}
+
+std::string ListAgent::body(int64_t version, bool whole, const std::vector<Entry>& entries) const {
+    std::ostringstream o;
+    o << R"({"generation":)" << version << R"(,"reset":)" << (whole ? "true" : "false")
+      << R"(,"instances":[)";
+    for (size_t k = 0; k < entries.size(); ++k) {
+        const Listed& l = entries[k].listed;
+        o << (k ? "," : "") << R"({"instanceId":")" << l.server << R"(","hostPort":")" << entries[k].host_port
+          << R"(","zone":"z)" << l.zone << R"(","machineType":"m","cell":)" << l.cell << R"(,"lifecycle":")"
+          << state_word(l.condition) << R"(","weight":)" << l.weight << R"(,"startedAtMs":)"
+          << entries[k].started_unix_ms << "}";
+    }
+    o << "]}";
+    return o.str();
+}
+
+void ListAgent::answer(uint64_t id, int64_t since, bool whole) {
+    if (manner_ == Manner::silent) return;
+    if (manner_ == Manner::garbled) {
+        const std::string sound = body(version_, true, first_);
+        switch (garbled_++ % 3) {
+            case 0: return write(id, sound.substr(0, sound.size() / 2));
+            case 1: return write(id, R"({"generation":"soon","reset":1,"instances":{}})");
+            default: break;
+        }
+        const auto it = calls_.find(id);
+        if (it == calls_.end()) return;
+        ::send(it->second->fd.get(), "NO SUCH THING\r\n\r\n", 17, MSG_NOSIGNAL);
+        return drop(id);
+    }
+    if (manner_ == Manner::back) {
+        write(id, body(version_ - versions_back, true, first_));
+        return told_(first_, true);
+    }
+    std::vector<Entry> entries;
+    for (const auto& [name, entry] : entries_)
+        if (whole ? entry.second.listed.condition != Condition::left : entry.first > since)
+            entries.push_back(entry.second);
+    write(id, body(version_, whole, entries));
+    if (whole || !entries.empty()) told_(entries, whole);
+}
+
+void ListAgent::write(uint64_t id, const std::string& text) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) return;
+    const std::string all = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                            std::to_string(text.size()) + "\r\n\r\n" + text;
+    // A few kilobytes go into the socket's own buffer; one that does not take them is not read from.
+    if (::send(it->second->fd.get(), all.data(), all.size(), MSG_NOSIGNAL) !=
+        static_cast<ssize_t>(all.size()))
+        drop(id);
+}
+
+void ListAgent::change(const Entry& entry) {
+    entries_[entry.listed.server] = {++version_, entry};
+    if (manner_ != Manner::sound) return;
+    std::vector<uint64_t> waiting;
+    for (const auto& [id, call] : calls_)
+        if (call->waiting) waiting.push_back(id);
+    for (const uint64_t id : waiting) {
+        Call& call = *calls_.at(id);
+        call.waiting = false;
+        --watches_;
+        agenda_.cancel(call.over);
+        answer(id, call.since, false);
+    }
+}
+
+// Watches that stand are given up: what comes then is in the new manner.
+void ListAgent::set_manner(Manner manner) {
+    if (manner_ == manner) return;
+    manner_ = manner;
+    std::vector<uint64_t> all;
+    for (const auto& [id, call] : calls_)
+        if (call->waiting || manner != Manner::silent) all.push_back(id);
+    if (manner == Manner::silent) return;
+    for (const uint64_t id : all) drop(id);
+}
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/list_agent.h
@@ -0,0 +1,79 @@
+// A stand-in for discovery's agent on one balancer's machine: the whole list, watches, and what goes wrong
+// with them. Each balancer has an agent of its own, as on the platform; what it has written counts as told.
+#pragma once
+#include <http_parser.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "brain.h"
+#include "net/line_conn.h"
+#include "standin/acceptor.h"
+#include "standin/agenda.h"
+
+namespace headrouter::standin {
+
+struct Entry {
+    Listed listed;
+    std::string host_port;
+    int64_t started_unix_ms = 0;
+};
+
+class ListAgent {
+   public:
+    enum class Manner {
+        sound,
+        silent,   // takes calls, answers nothing
+        garbled,  // answers what is no list, cut short or not even HTTP, in turn
+        late,     // answers when the watch is long over
+        back      // tells the list as it was at first, at a version before the present one
+    };
+    // `told`: what has just been written to the balancer.
+    ListAgent(Agenda&, std::string at, std::vector<Entry> first,
+              std::function<void(const std::vector<Entry>&, bool whole)> told);
+    ~ListAgent();
+    ListAgent(const ListAgent&) = delete;
+    ListAgent& operator=(const ListAgent&) = delete;
+
+    void change(const Entry&);
+    void set_manner(Manner);
+    int64_t version() const { return version_; }
+    int watches() const { return watches_; }
+    uint64_t asked() const { return asked_; }
+
+   private:
+    struct Call {
+        ListAgent* agent = nullptr;
+        uint64_t id = 0;
+        Fd fd;
+        ev_io io{};
+        http_parser parser{};
+        std::string url, out;
+        bool waiting = false, complete = false;
+        int64_t since = 0;
+        Agenda::Ticket over{};
+    };
+    void taken(Fd);
+    void readable(uint64_t id);
+    void asked(Call&);
+    void answer(uint64_t id, int64_t since, bool whole);
+    void write(uint64_t id, const std::string& body);
+    void drop(uint64_t id);
+    std::string body(int64_t version, bool whole, const std::vector<Entry>&) const;
+
+    Agenda& agenda_;
+    std::vector<Entry> first_;
+    std::map<ServerId, std::pair<int64_t, Entry>> entries_;  // with the version that changed each last
+    std::function<void(const std::vector<Entry>&, bool)> told_;
+    Manner manner_ = Manner::sound;
+    int64_t version_ = 100;
+    int watches_ = 0;
+    uint64_t asked_ = 0, last_ = 0, garbled_ = 0;
+    std::map<uint64_t, std::unique_ptr<Call>> calls_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    Acceptor acceptor_;
+};
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/relay.h
@@ -0,0 +1,68 @@
+// A network between two peers that goes wrong on a script: bytes are delayed, held, throttled, cut off in the
+// middle of a line, reset, or let through in one direction only; and all is well again when it heals. Each
+// way is buffered up to a bound, then no longer read, as a full pipe is.
+#pragma once
+#include <deque>
+#include <list>
+#include <memory>
+
+#include "standin/acceptor.h"
+#include "standin/agenda.h"
+
+namespace headrouter::standin {
+
+class Relay {
+   public:
+    struct Fault {
+        Span delay;                 // of every byte
+        bool stalled = false;       // nothing passes either way
+        bool half_open = false;     // what the far side says is lost, and it is not told of an end
+        double bytes_a_second = 0;  // 0: as fast as it goes
+        int64_t cut_after = -1;     // bytes that still pass towards the near side; then the connection ends
+    };
+    Relay(Agenda&, std::string at, const std::string& to);
+    ~Relay();
+    Relay(const Relay&) = delete;
+    Relay& operator=(const Relay&) = delete;
+
+    void set(const Fault&);  // for what stands and what comes
+    void heal() { set({}); }
+    void reset_all();  // RST to both sides of all connections
+    void at(Instant when, Fault);
+    size_t connections() const { return links_.size(); }
+    uint64_t bytes_passed() const { return passed_; }
+
+   private:
+    struct Way {                                           // one direction
+        std::deque<std::pair<Instant, std::string>> held;  // with when each piece may go
+        size_t bytes = 0;
+        Instant free_from;  // under a throttle
+        bool ended = false, told_end = false;
+    };
+    struct Link {
+        uint64_t id;
+        Fd near, far;
+        ev_io near_io{}, far_io{};
+        Way to_far, to_near;
+        bool connecting = true, waits = false;
+        Relay* relay = nullptr;
+    };
+    void taken(Fd);
+    void ready(Link&, bool near_side, int events);
+    void read_from(Link&, bool near_side);
+    void pump(Link&);
+    bool pump_way(Link&, Way&, Fd& to, bool to_near);
+    void watch(Link&);
+    void end(uint64_t id, bool reset);
+    Link* find(uint64_t);
+
+    Agenda& agenda_;
+    Address to_;
+    Fault fault_;
+    std::list<std::unique_ptr<Link>> links_;
+    uint64_t last_ = 0, passed_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    Acceptor acceptor_;
+};
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/rig.h
@@ -0,0 +1,73 @@
+// A whole stand-in deployment on loopback: servers, an agent of the list for each balancer, the clients, and
+// the script of troubles. Whoever uses it brings the balancers: child processes, or ones in its own loop.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/machine.h"
+#include "standin/block.h"
+#include "standin/crowd.h"
+#include "standin/list_agent.h"
+
+namespace headrouter::standin {
+
+class Rig {
+   public:
+    // Where a balancer listens, where its list is, and what it is told when it starts, as the platform words
+    // it.
+    struct Seat {
+        std::string name, listen, discovery, config;
+    };
+    struct Balancers {
+        std::function<void(int)> start, kill;  // a life of the balancer with that number
+    };
+    Rig(struct ev_loop*, const fleet::World&, uint64_t seed, fleet::Outcome&);
+    ~Rig();
+
+    const Seat& seat(int balancer) const { return seats_[balancer]; }
+    std::string fresh_config(int balancer);  // with a seed of its own and the list as it is now
+    bool ready(int balancer);                // answers PING with PONG; asked again and again
+    void begin(Balancers);                   // all ready: the script and the clients start
+    bool finished() const { return finished_; }
+    void finish();                   // the ledger's last look
+    std::string not_judged() const;  // empty, or why nothing may be said of the balancer
+
+    Agenda& agenda() { return agenda_; }
+    Crowd& crowd() { return *crowd_; }
+    Server& server(int k) { return *servers_[k]; }
+    fleet::Machine& machine(int k) { return *machines_[k]; }
+    ListAgent& agent(int b) { return *agents_[b]; }
+    fleet::Ledger& ledger() { return ledger_; }
+
+   private:
+    void do_deed(const fleet::Deed&);
+    void list_changes(const fleet::Deed&);
+    void told(int balancer, const std::vector<Entry>&, bool whole);
+    void look();
+    Entry entry(int server) const;
+
+    const fleet::World& world_;
+    fleet::Outcome& out_;
+    Agenda agenda_;
+    Block block_;
+    fleet::Ledger ledger_;
+    Pcg32 chance_;
+    int descriptors_;
+    std::vector<std::unique_ptr<fleet::Machine>> machines_;
+    std::unique_ptr<Crowd> crowd_;
+    std::vector<std::unique_ptr<Server>> servers_;
+    std::vector<std::string> places_;
+    std::vector<Condition> conditions_;
+    std::vector<int64_t> started_ms_;
+    std::vector<std::unique_ptr<ListAgent>> agents_;
+    std::vector<Seat> seats_;
+    Balancers balancers_;
+    std::vector<std::pair<Fd, std::string>> pings_;
+    int looks_ = 0;
+    bool finished_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/server.cpp
@@ -0,0 +1,218 @@
+#include "standin/server.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "net/opening.h"
+
+namespace headrouter::standin {
+using fleet::Machine;
+using fleet::Mode;
+
+namespace {
+constexpr Span delay_beat = seconds(1);
+}
+
+int64_t field_of(std::string_view line, std::string_view name) {
+    const std::string wanted = std::string(name) + "=";
+    for (size_t at = line.find(wanted); at != std::string_view::npos; at = line.find(wanted, at + 1)) {
+        if (at == 0 || (line[at - 1] != ' ' && line[at - 1] != ',')) continue;
+        int64_t value = -1;
+        const char* const from = line.data() + at + wanted.size();
+        const auto [end, fault] = std::from_chars(from, line.data() + line.size(), value);
+        return fault == std::errc() && end != from ? value : -1;
+    }
+    return -1;
+}
+
+uint64_t call_of(std::string_view line) {
+    if (line.substr(0, 5) != "OPEN ") return 0;
+    uint64_t id = 0;
+    const char* const last = line.data() + std::min(line.size(), size_t{21});
+    const auto [end, fault] = std::from_chars(line.data() + 5, last, id, 16);
+    return fault == std::errc() && end == last ? id : 0;
+}
+
+Server::Server(Agenda& agenda, int number, std::string at, Machine& machine, const fleet::World& world,
+               SeenByServers& seen)
+    : agenda_(agenda),
+      number_(number),
+      machine_(machine),
+      world_(world),
+      seen_(seen),
+      farewell_(agenda.loop()),
+      acceptor_(agenda.loop(), std::move(at), [this](Fd fd) { taken(std::move(fd)); }) {}
+
+Server::~Server() { *alive_ = false; }
+
+void Server::later(Instant when, std::function<void()> what) {
+    agenda_.at(when, [alive = alive_, what = std::move(what)] {
+        if (*alive) what();
+    });
+}
+
+void Server::taken(Fd fd) {
+    const uint64_t id = ++last_;
+    Conn& conn = conns_[id];
+    conn.line.reset(new LineConn(agenda_.loop(), std::move(fd), *this, id));
+    conn.line->start(false);
+    if (silent()) conn.line->pause_reading(true);
+}
+
+void Server::bytes_came(LineConn& line, std::string_view bytes, bool whole) {
+    const auto it = conns_.find(line.id());
+    if (it == conns_.end()) return;
+    Conn& conn = it->second;
+    if (!conn.opened) {
+        if (!whole) return seen_.garbled(number_, bytes), leave(line.id(), How::finished, true);
+        return opening(conn, bytes);
+    }
+    if (!conn.standing) return seen_.garbled(number_, bytes);  // balancers wait for UP
+    // A message comes back behind the work that is piled up.
+    const Instant now = agenda_.now();
+    later(now + machine_.delay(now),
+          [this, id = line.id(), text = std::string(bytes)] { say(id, "RE " + text); });
+}
+
+void Server::opening(Conn& conn, std::string_view line) {
+    const uint64_t id = conn.line->id(), call = call_of(line);
+    const SeenByServers::Opened opened = seen_.first_line(call, line);
+    if (!opened.known) {
+        seen_.garbled(number_, line);
+        conn.line->send("SYNTAX\r\n");
+        return leave(id, How::finished, true);
+    }
+    conn.opened = true;
+    conn.call = call;
+    conn.balancer = opened.balancer;
+    seen_.leg_began(call, number_, opened.balancer);
+    seen_.leg_ran(call, number_);
+    const Span wait = millis(static_cast<double>(std::max<int64_t>(1, field_of(line, "d"))));
+    const auto [how, at] = machine_.open(agenda_.now(), call, opened.type, opened.load, opened.group, wait);
+    if (how == Machine::SetUp::How::silent || how == Machine::SetUp::How::refused) return;
+    later(at, [this, id, how = how] { set_up_done(id, how); });
+}
+
+void Server::set_up_done(uint64_t id, Machine::SetUp::How how) {
+    if (silent()) return void(when_back_.push_back([this, id, how] { set_up_done(id, how); }));
+    const auto it = conns_.find(id);
+    if (it == conns_.end()) return;
+    Conn& conn = it->second;
+    using How = Machine::SetUp::How;
+    if (how != How::up) {
+        if (how == How::busy) seen_.leg_turned_away(conn.call, number_);
+        conn.line->send(how == How::busy ? "BUSY\r\n" : "ERR\r\n");
+        return leave(id, headrouter::How::finished, true);
+    }
+    conn.standing = true;
+    conn.line->send("UP " + std::to_string(conn.call) + "\r\n");
+    if (!world_.tells_load) return;
+    const auto opened = seen_.first_line(conn.call, {});
+    conn.line->send("LOAD " + std::to_string(static_cast<int64_t>(opened.load)) + "\r\n");
+}
+
+void Server::say(uint64_t id, std::string_view text) {
+    if (silent())
+        return void(when_back_.push_back([this, id, owned = std::string(text)] { say(id, owned); }));
+    const auto it = conns_.find(id);
+    if (it != conns_.end()) it->second.line->send(text);
+}
+
+// `by_server`: it ends the connection; otherwise the balancer has, and it is only followed.
+void Server::leave(uint64_t id, How how, bool by_server) {
+    const auto it = conns_.find(id);
+    if (it == conns_.end()) return;
+    Conn conn = std::move(it->second);
+    conns_.erase(it);
+    if (conn.opened) {
+        machine_.close(agenda_.now(), conn.call);
+        seen_.leg_over(conn.call, number_, by_server);
+    }
+    how == How::broke ? conn.line->abort() : conn.line->finish();
+    farewell_.take(std::move(conn.line));
+}
+
+void Server::conn_ended(LineConn& line, How how) { leave(line.id(), how, false); }
+
+static std::vector<uint64_t> keys_of(const auto& map) {
+    std::vector<uint64_t> all;
+    for (const auto& entry : map) all.push_back(entry.first);
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+void Server::die() {
+    machine_.set_mode(agenda_.now(), Mode::dead);
+    acceptor_.refuse();
+    when_back_.clear();
+    for (const uint64_t id : keys_of(conns_)) leave(id, How::broke, true);
+}
+
+void Server::vanish() {
+    machine_.set_mode(agenda_.now(), Mode::vanished);
+    acceptor_.ignore();
+    for (auto& [id, conn] : conns_) conn.line->pause_reading(true);
+}
+
+void Server::hang() {
+    machine_.set_mode(agenda_.now(), Mode::hanging);
+    for (auto& [id, conn] : conns_) conn.line->pause_reading(true);
+}
+
+void Server::answer_again() {
+    machine_.set_mode(agenda_.now(), Mode::running);
+    if (silent()) return;  // it fell meanwhile
+    std::vector<std::function<void()>> owed;
+    owed.swap(when_back_);
+    for (const auto& what : owed) what();
+    for (const uint64_t id : keys_of(conns_))
+        if (const auto it = conns_.find(id); it != conns_.end()) it->second.line->pause_reading(false);
+}
+
+void Server::start_cold() {
+    if (machine_.fell()) return;
+    die();
+    machine_.start_cold(agenda_.now());
+    acceptor_.open();
+}
+
+void Server::drain() { machine_.set_mode(agenda_.now(), Mode::draining); }
+
+void Server::move_part(double part) {
+    std::vector<uint64_t> standing;
+    for (const uint64_t id : keys_of(conns_))
+        if (conns_.at(id).standing) standing.push_back(id);
+    const auto moves = static_cast<size_t>(static_cast<double>(standing.size()) * part + 0.5);
+    for (size_t k = 0; k < std::min(moves, standing.size()); ++k) {
+        conns_.at(standing[k]).line->send("MOVE\r\n");
+        leave(standing[k], How::finished, true);
+    }
+}
+
+void Server::look() {
+    const Mode before = machine_.mode();
+    machine_.work_left(agenda_.now());
+    if (machine_.fell() && before != Mode::dead) return die();
+    if (world_.tells_delay && agenda_.now() - told_at_ >= delay_beat) {
+        told_at_ = agenda_.now();
+        tell_delay();
+    }
+}
+
+// Once a second to each balancer that holds a connection here, on its oldest one.
+void Server::tell_delay() {
+    if (silent()) return;
+    const double ms = in_seconds(machine_.delay(agenda_.now())) * 1000;
+    double least = 1e9;
+    for (const fleet::TypeRow& t : world_.traffic.types)
+        least = std::min(least, in_seconds(t.message_target) * 1000);
+    if (ms <= least / 3) return;
+    std::vector<char> told(world_.balancers);
+    for (const uint64_t id : keys_of(conns_)) {
+        Conn& conn = conns_.at(id);
+        if (!conn.standing || conn.balancer < 0 || std::exchange(told[conn.balancer], 1)) continue;
+        conn.line->send("LOAD " + std::to_string(static_cast<int64_t>(ms)) + "\r\n");
+    }
+}
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/server.h
@@ -0,0 +1,85 @@
+// A stand-in for one of the platform's servers: the platform's line protocol round a Machine, which decides
+// what a set-up is answered and how long a message takes. What it sees goes to `SeenByServers`, for the
+// ledger.
+#pragma once
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+#include "fleet/machine.h"
+#include "net/line_conn.h"
+#include "standin/acceptor.h"
+#include "standin/agenda.h"
+
+namespace headrouter::standin {
+
+class SeenByServers {
+   public:
+    struct Opened {          // what the client that sent the line wants
+        bool known = false;  // some client sent this line, but for how long it waits
+        int type = 0, balancer = 0;
+        double load = 0;
+        std::string group;
+    };
+    virtual ~SeenByServers() = default;
+    virtual Opened first_line(uint64_t call, std::string_view line) = 0;
+    virtual void leg_began(uint64_t call, int server, int balancer) = 0;
+    virtual void leg_ran(uint64_t call, int server) = 0;
+    virtual void leg_turned_away(uint64_t call, int server) = 0;
+    virtual void leg_over(uint64_t call, int server, bool by_server) = 0;
+    virtual void garbled(int server, std::string_view line) = 0;  // what no client sent
+};
+
+class Server : private LineConn::Owner {
+   public:
+    Server(Agenda&, int number, std::string at, fleet::Machine&, const fleet::World&, SeenByServers&);
+    ~Server() override;
+
+    void die();     // connections are reset, new ones refused
+    void vanish();  // says nothing more, nothing comes up
+    void hang();    // takes connections and bytes, says nothing
+    void answer_again();
+    void start_cold();  // a new process under the same id
+    void drain();
+    void move_part(double part);  // of the standing ones: MOVE and the end
+    void look();  // several times a second: a machine that fell dies, delays are told each second
+    size_t connections() const { return conns_.size(); }
+    bool short_of_descriptors() const { return acceptor_.short_of_descriptors(); }
+
+   private:
+    struct Conn {
+        std::unique_ptr<LineConn> line;
+        uint64_t call = 0;
+        int balancer = -1;
+        bool opened = false, standing = false, answered = false;
+    };
+    void bytes_came(LineConn&, std::string_view, bool whole) override;
+    void conn_ended(LineConn&, How) override;
+    void taken(Fd);
+    void opening(Conn&, std::string_view line);
+    void set_up_done(uint64_t conn, fleet::Machine::SetUp::How);
+    void tell_delay();
+    void leave(uint64_t conn, How, bool by_server);
+    void say(uint64_t conn, std::string_view);
+    void later(Instant, std::function<void()>);
+    bool silent() const { return !machine_.answers(); }
+
+    Agenda& agenda_;
+    int number_;
+    fleet::Machine& machine_;
+    const fleet::World& world_;
+    SeenByServers& seen_;
+    Farewell farewell_;
+    std::unordered_map<uint64_t, Conn> conns_;
+    std::vector<std::function<void()>> when_back_;  // answers owed while it hung
+    uint64_t last_ = 0;
+    Instant told_at_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    Acceptor acceptor_;  // last: it may hand over a connection as soon as it is there
+};
+
+// The figure of a field such as "d=" in a client's first line; negative where there is none.
+int64_t field_of(std::string_view line, std::string_view name);
+uint64_t call_of(std::string_view line);  // the id of an OPEN; 0 where there is none
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/toml/fields.cpp
@@ -0,0 +1,191 @@
+#include "toml/fields.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+namespace headrouter {
+
+namespace {
+
+constexpr size_t largest_file = 4 << 20;
+struct Unit {
+    const char* word;
+    double ns;
+};
+constexpr Unit units[] = {{"us", 1e3}, {"ms", 1e6}, {"s", 1e9}, {"min", 60e9}, {"h", 3600e9}};
+
+bool span_from(const std::string& text, Span& into) {
+    double value = 0;
+    const char* const last = text.data() + text.size();
+    const auto [end, fault] = std::from_chars(text.data(), last, value);
+    if (fault != std::errc() || !std::isfinite(value)) return false;
+    for (const Unit& u : units)
+        if (std::string(end, last) == u.word) {
+            const double ns = value * u.ns;
+            if (std::abs(ns) > 1e17) return false;
+            return into = Span{static_cast<int64_t>(std::llround(ns))}, true;
+        }
+    return false;
+}
+
+std::string plain(double value) {
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+}  // namespace
+
+std::string in_words(Span span) {
+    const auto ns = static_cast<double>(span.ns);
+    for (auto u = std::rbegin(units); u != std::rend(units); ++u)
+        if (ns >= u->ns) return plain(ns / u->ns) + u->word;
+    return plain(ns / 1e3) + "us";
+}
+
+std::string file_text(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) throw Malformed("'" + path + "' cannot be read");
+    std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    if (in.bad()) throw Malformed("'" + path + "' cannot be read");
+    if (text.size() > largest_file) throw Malformed("'" + path + "' is larger than 4 MB");
+    return text;
+}
+
+toml::table parse_toml(const std::string& text, const std::string& file) {
+    try {
+        return toml::parse(text, file);
+    } catch (const toml::parse_error& e) {
+        throw Malformed(file + ":" + std::to_string(e.source().begin.line) + ":" +
+                        std::to_string(e.source().begin.column) + ": " + std::string(e.description()));
+    }
+}
+
+Fields::Fields(const toml::table& table, std::string file, std::string name)
+    : table_(&table), file_(std::move(file)), name_(std::move(name)) {}
+
+std::string Fields::place(const toml::node* node) const {
+    toml::source_position at = node ? node->source().begin : toml::source_position{};
+    if (at.line == 0) at = table_->source().begin;  // set by an arm or a sweep, so it stands nowhere itself
+    return at.line == 0 ? file_ + ": " : file_ + ":" + std::to_string(at.line) + ": ";
+}
+
+void Fields::wrong(const std::string& key, const std::string& expected) const {
+    throw Malformed(place(table_->get(key)) + name_of(key) + ": expected " + expected);
+}
+
+const toml::node* Fields::find(const char* key) {
+    asked_.emplace_back(key);
+    return table_->get(key);
+}
+
+void Fields::number(const char* key, double& into, double least, double most) {
+    const toml::node* node = find(key);
+    if (!node) return;
+    const auto value = node->value<double>();
+    const bool is_number = node->is_floating_point() || node->is_integer();
+    if (!is_number || !value || !(*value >= least) || !(*value <= most))
+        wrong(key, "a number from " + plain(least) + " to " + plain(most));
+    into = *value;
+}
+
+void Fields::whole(const char* key, int& into, int least, int most) {
+    const toml::node* node = find(key);
+    if (!node) return;
+    const auto value = node->value<int64_t>();
+    if (!node->is_integer() || !value || *value < least || *value > most)
+        wrong(key, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    into = static_cast<int>(*value);
+}
+
+void Fields::flag(const char* key, bool& into) {
+    const toml::node* node = find(key);
+    if (!node) return;
+    if (!node->is_boolean()) wrong(key, "true or false");
+    into = node->as_boolean()->get();
+}
+
+void Fields::text(const char* key, std::string& into) {
+    const toml::node* node = find(key);
+    if (!node) return;
+    if (!node->is_string()) wrong(key, "a text");
+    into = node->as_string()->get();
+}
+
+std::string Fields::word_of(const char* key) {
+    std::string word;
+    text(key, word);
+    if (has(key) && word.empty()) wrong(key, "a word");
+    return word;
+}
+
+void Fields::span(const char* key, Span& into, Span least, Span most) {
+    const toml::node* node = find(key);
+    if (!node) return;
+    Span value;
+    if (!node->is_string() || !span_from(node->as_string()->get(), value) || value < least || value > most)
+        wrong(key, "a span from \"" + in_words(least) + "\" to \"" + in_words(most) +
+                       "\", written with its unit (us, ms, s, min, h)");
+    into = value;
+}
+
+std::vector<double> Fields::numbers(const char* key, double least, double most) {
+    const toml::node* node = find(key);
+    std::vector<double> all;
+    if (!node) return all;
+    const std::string expected = "a list of numbers from " + plain(least) + " to " + plain(most);
+    if (!node->is_array()) wrong(key, expected);
+    for (const toml::node& one : *node->as_array()) {
+        const auto value = one.value<double>();
+        if (!one.is_number() || !value || *value < least || *value > most) wrong(key, expected);
+        all.push_back(*value);
+    }
+    return all;
+}
+
+std::vector<std::string> Fields::texts(const char* key) {
+    const toml::node* node = find(key);
+    std::vector<std::string> all;
+    if (!node) return all;
+    if (!node->is_array()) wrong(key, "a list of texts");
+    for (const toml::node& one : *node->as_array()) {
+        if (!one.is_string()) wrong(key, "a list of texts");
+        all.push_back(one.as_string()->get());
+    }
+    return all;
+}
+
+std::vector<Fields> Fields::tables(const char* key) {
+    const toml::node* node = find(key);
+    std::vector<Fields> all;
+    if (!node) return all;
+    if (!node->is_array_of_tables()) wrong(key, "tables, each beginning with [[" + name_of(key) + "]]");
+    for (const toml::node& one : *node->as_array())
+        all.emplace_back(*one.as_table(), file_, name_of(key) + "[" + std::to_string(all.size() + 1) + "]");
+    return all;
+}
+
+std::vector<Fields> Fields::table(const char* key) {
+    const toml::node* node = find(key);
+    if (!node) return {};
+    if (!node->is_table()) wrong(key, "a table that begins with [" + name_of(key) + "]");
+    return {Fields(*node->as_table(), file_, name_of(key))};
+}
+
+void Fields::finish() const {
+    for (const auto& [key, node] : *table_) {
+        const std::string name(key.str());
+        if (std::find(asked_.begin(), asked_.end(), name) != asked_.end()) continue;
+        std::vector<std::string> known = asked_;
+        std::sort(known.begin(), known.end());
+        std::string list;
+        for (const std::string& k : known) list += (list.empty() ? "" : ", ") + k;
+        throw Malformed(place(&node) + name_of(name) + ": no such key; expected one of " + list);
+    }
+}
+
+}  // namespace headrouter
