Stand-in servers that hang go on reading

Cause: a hung stand-in read nothing, so it never saw that a balancer had given up a leg, and the ledger called the next leg a second one at once (model-fit, hang).

Change: what hangs or vanished reads and says nothing; answers owed come when it goes on.

--- a/src/standin/crowd.cpp
+++ b/src/standin/crowd.cpp
@@ -153,6 +153,7 @@
     ++(busy ? out_.busy : out_.failed);
     int64_t ms = 0;
     if (busy && text.size() > 5) std::from_chars(text.data() + 5, text.data() + text.size(), ms);
+    if (c.line->behind() > 0) ledger_.line_after_answer(now, c.call);
     hang_up(who);
     away(who, busy ? c.patience->after_busy(now, millis(static_cast<double>(ms)), chance_)
                    : c.patience->after_failure(now, chance_));
--- a/src/standin/server.cpp
+++ b/src/standin/server.cpp
@@ -56,22 +56,25 @@
     Conn& conn = conns_[id];
     conn.line.reset(new LineConn(agenda_.loop(), std::move(fd), *this, id));
     conn.line->start(false);
-    if (silent()) conn.line->pause_reading(true);
 }
 
+// One that says nothing still reads: what it would find in its buffers when it goes on, and the end of a
+// connection, with which a balancer has given up whether or not anybody looks.
 void Server::bytes_came(LineConn& line, std::string_view bytes, bool whole) {
-    const auto it = conns_.find(line.id());
-    if (it == conns_.end()) return;
+    const uint64_t id = line.id();
+    const auto it = conns_.find(id);
+    if (it == conns_.end() || machine_.mode() == Mode::vanished) return;
     Conn& conn = it->second;
     if (!conn.opened) {
-        if (!whole) return seen_.garbled(number_, bytes), leave(line.id(), How::finished, true);
+        if (!whole) return seen_.garbled(number_, bytes), leave(id, How::finished, true);
         return opening(conn, bytes);
     }
-    if (!conn.standing) return seen_.garbled(number_, bytes);  // balancers wait for UP
-    // A message comes back behind the work that is piled up.
+    // A message comes back behind the work that is piled up; balancers wait for UP before they send one.
+    if (!conn.standing) return seen_.garbled(number_, bytes);
+    const std::string text = "RE " + std::string(bytes);
+    if (silent()) return void(when_back_.push_back([this, id, text] { say(id, text); }));
     const Instant now = agenda_.now();
-    later(now + machine_.delay(now),
-          [this, id = line.id(), text = std::string(bytes)] { say(id, "RE " + text); });
+    later(now + machine_.delay(now), [this, id, text] { say(id, text); });
 }
 
 void Server::opening(Conn& conn, std::string_view line) {
@@ -87,9 +90,17 @@
     conn.balancer = opened.balancer;
     seen_.leg_began(call, number_, opened.balancer);
     seen_.leg_ran(call, number_);
-    const Span wait = millis(static_cast<double>(std::max<int64_t>(1, field_of(line, "d"))));
-    const auto [how, at] = machine_.open(agenda_.now(), call, opened.type, opened.load, opened.group, wait);
-    if (how == Machine::SetUp::How::silent || how == Machine::SetUp::How::refused) return;
+    set_up(id, agenda_.now() + millis(static_cast<double>(std::max<int64_t>(1, field_of(line, "d")))));
+}
+
+void Server::set_up(uint64_t id, Instant until) {
+    if (silent()) return void(when_back_.push_back([this, id, until] { set_up(id, until); }));
+    const auto it = conns_.find(id);
+    if (it == conns_.end()) return;
+    const uint64_t call = it->second.call;
+    const SeenByServers::Opened o = seen_.first_line(call, {});
+    const Instant now = agenda_.now();
+    const auto [how, at] = machine_.open(now, call, o.type, o.load, o.group, std::max(until - now, Span{}));
     later(at, [this, id, how = how] { set_up_done(id, how); });
 }
 
@@ -151,12 +162,10 @@
 void Server::vanish() {
     machine_.set_mode(agenda_.now(), Mode::vanished);
     acceptor_.ignore();
-    for (auto& [id, conn] : conns_) conn.line->pause_reading(true);
 }
 
 void Server::hang() {
     machine_.set_mode(agenda_.now(), Mode::hanging);
-    for (auto& [id, conn] : conns_) conn.line->pause_reading(true);
 }
 
 void Server::answer_again() {
@@ -165,8 +174,6 @@
     std::vector<std::function<void()>> owed;
     owed.swap(when_back_);
     for (const auto& what : owed) what();
-    for (const uint64_t id : keys_of(conns_))
-        if (const auto it = conns_.find(id); it != conns_.end()) it->second.line->pause_reading(false);
 }
 
 void Server::start_cold() {
--- a/src/standin/server.h
+++ b/src/standin/server.h
@@ -57,6 +57,7 @@
     void conn_ended(LineConn&, How) override;
     void taken(Fd);
     void opening(Conn&, std::string_view line);
+    void set_up(uint64_t conn, Instant until);
     void set_up_done(uint64_t conn, fleet::Machine::SetUp::How);
     void tell_delay();
     void leave(uint64_t conn, How, bool by_server);
