--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "net/balancer.h"
+#include "operator/operator_file.h"
 
 namespace headrouter {
 
@@ -23,10 +24,31 @@
     "options of serve and check:\n"
     "  -c, --config FILE   the configuration (default: what PROXY_CONFIG names)\n"
     "  -l, --log LEVEL     error, warning, info or debug (default: info)\n"
+    "  -f, --log-format F  text or json, a record a line (default: text)\n"
+    "  -o, --operator FILE the operator's own file, in TOML (deploy/operator.example.toml)\n"
     "\n"
     "PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY, where set, win over the file.\n"
     "Signals to serve: TERM and INT leave in an orderly way, USR1 prints the counters, HUP reads the\n"
-    "configuration again (its discovery then wins over PROXY_DISCOVERY).\n";
+    "configuration and the operator's file again (its discovery then wins over PROXY_DISCOVERY).\n";
+
+// What was said on the command line, which wins over the operator's file.
+struct Said {
+    std::string path, operator_path;
+    std::optional<Level> level;
+    std::optional<Log::Form> form;
+};
+
+OperatorFile operator_file(const Said& said) {
+    OperatorFile file;
+    if (!said.operator_path.empty()) file = read_operator_file(said.operator_path);
+    if (said.level) file.log_level = said.level;
+    if (said.form) file.log_form = said.form;
+    return file;
+}
+
+void set_log(Log& log, const OperatorFile& file) {
+    log.set(file.log_level.value_or(Level::info), file.log_form.value_or(Log::Form::text));
+}
 
 std::string printed(const Counters& counters) {
     std::ostringstream text;
@@ -34,17 +56,17 @@
     return text.str();
 }
 
-int serve(const Boot& boot, const std::string& path, const Clock& clock, Log& log) {
+int serve(const Boot& boot, const Said& said, const Clock& clock, Log& log) {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // until the loop listens: it must not end a balancer that still starts
     struct ev_loop* loop = ev_default_loop(EVFLAG_AUTO);
     Balancer balancer(loop, boot, clock, log);
     struct Asked {
         Balancer& balancer;
-        const std::string& path;
+        const Said& said;
         const Clock& clock;
         Log& log;
-    } asked{balancer, path, clock, log};
+    } asked{balancer, said, clock, log};
     const auto leave = [](struct ev_loop*, ev_signal* w, int) {
         static_cast<Asked*>(w->data)->balancer.begin_leaving();
     };
@@ -54,8 +76,10 @@
     };
     const auto reload = [](struct ev_loop*, ev_signal* w, int) {
         Asked& a = *static_cast<Asked*>(w->data);
-        try {
-            a.balancer.reload(read_boot_here(a.path, a.clock, Read::again));
+        try {  // both are read before anything is taken over
+            const OperatorFile file = operator_file(a.said);
+            a.balancer.reload(read_boot_here(a.said.path, a.clock, Read::again));
+            set_log(a.log, file);
         } catch (const Malformed& fault) {
             a.balancer.refuse_reload(fault.what());
         }
@@ -91,20 +115,26 @@
         return std::cout << "headrouter " HEADROUTER_VERSION "\n", 0;
     if (command != "serve" && command != "check") return std::cerr << help, 2;
 
-    std::string path;
-    Level level = Level::info;
+    Said said;
     const option options[] = {{"config", required_argument, nullptr, 'c'},
                               {"log", required_argument, nullptr, 'l'},
+                              {"log-format", required_argument, nullptr, 'f'},
+                              {"operator", required_argument, nullptr, 'o'},
                               {"help", no_argument, nullptr, 'h'},
                               {nullptr, 0, nullptr, 0}};
     optind = 2;
-    for (int o; (o = getopt_long(argc, argv, "c:l:h", options, nullptr)) != -1;) {
+    for (int o; (o = getopt_long(argc, argv, "c:l:f:o:h", options, nullptr)) != -1;) {
         if (o == 'h') return std::cout << help, 0;
-        if (o == 'c') path = optarg;
-        if (o == 'l' && !Log::level_from(optarg, level)) {
+        if (o == 'c') said.path = optarg;
+        if (o == 'o') said.operator_path = optarg;
+        if (o == 'l' && !Log::level_from(optarg, said.level.emplace())) {
             std::cerr << "headrouter: '" << optarg << "' is no log level\n";
             return 2;
         }
+        if (o == 'f' && !Log::form_from(optarg, said.form.emplace())) {
+            std::cerr << "headrouter: '" << optarg << "' is no log format: expected text or json\n";
+            return 2;
+        }
         if (o == '?') return 2;
     }
     if (optind < argc) {
@@ -113,11 +143,12 @@
     }
     try {
         const Clock clock;
-        if (const char* named = std::getenv("PROXY_CONFIG"); path.empty() && named) path = named;
-        if (path.empty()) throw Malformed("PROXY_CONFIG is not set: it names the configuration file");
-        const Boot boot = read_boot_here(path, clock, Read::at_start);
-        Log log(std::clog, level, boot.name);
-        return command == "check" ? check(boot) : serve(boot, path, clock, log);
+        if (const char* named = std::getenv("PROXY_CONFIG"); said.path.empty() && named) said.path = named;
+        if (said.path.empty()) throw Malformed("PROXY_CONFIG is not set: it names the configuration file");
+        const Boot boot = read_boot_here(said.path, clock, Read::at_start);
+        Log log(std::clog, Level::info, boot.name);
+        set_log(log, operator_file(said));
+        return command == "check" ? check(boot) : serve(boot, said, clock, log);
     } catch (const Malformed& fault) {
         std::cerr << "headrouter: " << fault.what() << "\n";
         return 1;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -11,8 +11,11 @@
 
 class Log {
    public:
-    Log(std::ostream& out, Level most, std::string name = "")
-        : out_(out), most_(most), name_(std::move(name)) {}
+    // A line each: words with spaces between, or a JSON object with `at` (Unix time, seconds), `level`,
+    // `name` and `text`.
+    enum class Form { text, json };
+    Log(std::ostream& out, Level most, std::string name = "", Form form = Form::text)
+        : out_(out), most_(most), name_(std::move(name)), form_(form) {}
 
     // One line, written when it goes out of scope; what is filtered out is not even formatted.
     class Line {
@@ -41,13 +44,17 @@
     Line info() { return at(Level::info); }
     Line debug() { return at(Level::debug); }
 
+    void set(Level most, Form form) { most_ = most, form_ = form; }
+
     static bool level_from(const std::string& word, Level& level);
+    static bool form_from(const std::string& word, Form& form);
 
    private:
     void write(Level, const std::string& text);
     std::ostream& out_;
     Level most_;
     std::string name_;
+    Form form_;
 };
 
 }  // namespace headrouter
