--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	tools/deps
 
 test: build
-	ctest --test-dir build --output-on-failure
+	ctest --test-dir build --output-on-failure -j4
 
 lint:
 	clang-format --dry-run --Werror $$(git ls-files '*.cpp' '*.h')
--- a/src/base/bucket_ring.h
+++ b/src/base/bucket_ring.h
@@ -7,6 +7,8 @@
 
 namespace headrouter {
 
+struct StateAccess;
+
 template <int buckets>
 class BucketRing {
    public:
@@ -38,6 +40,7 @@
     void clear() { sums_.fill(0); }
 
    private:
+    friend struct StateAccess;
     static int at(int64_t n) { return static_cast<int>(((n % buckets) + buckets) % buckets); }
 
     void turn(Instant now) {
--- a/src/base/pcg32.h
+++ b/src/base/pcg32.h
@@ -4,6 +4,8 @@
 
 namespace headrouter {
 
+struct StateAccess;
+
 class Pcg32 {
    public:
     explicit Pcg32(uint64_t seed, uint64_t stream = 0x5851f42d4c957f2dULL) : step_((stream << 1) | 1) {
@@ -23,6 +25,7 @@
     double uniform() { return (next() + 0.5) / 4294967296.0; }  // never 0, so that its logarithm exists
 
    private:
+    friend struct StateAccess;  // of captures, which keep it as it is
     uint64_t state_ = 0;
     uint64_t step_;
 };
--- a/src/brain.h
+++ b/src/brain.h
@@ -150,7 +150,8 @@
     bool knows(const ServerId& id) const { return index_.count(id) > 0; }
 
    private:
-    friend struct Peek;  // the tests build states directly
+    friend struct Peek;         // the tests build states directly
+    friend struct StateAccess;  // a capture keeps the whole state, and brings it back
     enum class Verdict { pass_on, keep, end };
     struct Back {
         int leg;
--- /dev/null
+++ b/src/capture/explain.h
@@ -0,0 +1,21 @@
+// Why a decision fell as it did: what the module saw of the fleet when it decided, in words.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "capture/replay.h"
+
+namespace headrouter::capture {
+
+// A row for each server as the call would find it now: load, share, ceiling, whether it may take the call,
+// and why not.
+std::string fleet_in_words(Brain&, Instant, const Call&);
+
+// All that touched one call, with what was seen at each of its placings.
+struct Why {
+    Verdict verdict;
+    std::string text;  // empty: the call is not in the capture
+};
+Why why(const std::vector<std::string>& paths, CallId);
+
+}  // namespace headrouter::capture
--- /dev/null
+++ b/src/capture/module_visits.h
@@ -0,0 +1,139 @@
+// How the module's own plain types are written and read: those that events carry, and a whole Brain.
+#pragma once
+#include <functional>
+#include <string>
+
+#include "brain.h"
+#include "capture/archive.h"
+
+namespace headrouter {
+
+struct StateAccess {
+    template <class A>
+    static void visit_state(A& a, Pcg32& chance) {
+        capture::visit(a, chance.state_);
+        capture::visit(a, chance.step_);
+    }
+    template <class A, int n>
+    static void visit_state(A& a, BucketRing<n>& ring) {
+        capture::visit(a, ring.width_);
+        capture::visit(a, ring.newest_);
+        capture::visit(a, ring.sums_);
+    }
+    template <class A>
+    static void visit_state(A&, Brain&);
+
+    static bool holds(const Brain& b, CallId id) { return b.calls_.count(id) > 0; }
+    static const Call& call(const Brain& b, CallId id) { return b.calls_.at(id); }
+    static std::string fleet_in_words(Brain&, Instant, const Call&);                // explain.cpp
+    static void hide_names(Brain&, const std::function<void(std::string&)>& hide);  // edit.cpp
+};
+
+namespace capture {
+
+template <class A>
+void visit(A& a, TrafficType& t) {
+    visit(a, t.effect), visit(a, t.scope), visit(a, t.setup_target), visit(a, t.guard_time);
+    visit(a, t.window), visit(a, t.message_target);
+}
+
+template <class A>
+void visit(A& a, Deployment& d) {
+    visit(a, d.types), visit(a, d.tenants), visit(a, d.max_legs), visit(a, d.slot), visit(a, d.zone);
+    visit(a, d.cross_price), visit(a, d.ask_list), visit(a, d.pass_mode), visit(a, d.groups),
+        visit(a, d.advises);
+    visit(a, d.park), visit(a, d.max_advice), visit(a, d.step), visit(a, d.cold_time);
+}
+
+template <class A>
+void visit(A& a, Listed& l) {
+    visit(a, l.server), visit(a, l.weight), visit(a, l.condition), visit(a, l.zone), visit(a, l.cell);
+    visit(a, l.launched);
+}
+
+template <class A>
+void visit(A& a, Leg& l) {
+    visit(a, l.server), visit(a, l.sent), visit(a, l.out), visit(a, l.standing);
+}
+
+template <class A>
+void visit(A& a, Call& c) {
+    visit(a, c.id), visit(a, c.type), visit(a, c.tenant), visit(a, c.again), visit(a, c.mid_flow);
+    visit(a, c.key), visit(a, c.group), visit(a, c.hinted_load), visit(a, c.guard), visit(a, c.legs);
+    visit(a, c.may_have_run), visit(a, c.chosen), visit(a, c.slot), visit(a, c.load);
+    visit(a, c.spared), visit(a, c.held), visit(a, c.moved);
+}
+
+template <class A>
+void visit(A& a, LoadReport& r) {
+    visit(a, r.load_share);
+}
+
+template <class A>
+void visit(A& a, Holding& h) {
+    visit(a, h.untold), visit(a, h.told_load);
+}
+
+template <class A>
+void visit(A& a, Server& s) {
+    visit(a, s.listed), visit(a, s.weight), visit(a, s.restarted_unlisted), visit(a, s.warm_from);
+    visit(a, s.standing), visit(a, s.holding), visit(a, s.unusual), visit(a, s.named_in),
+        visit(a, s.setting_up);
+    visit(a, s.spared), visit(a, s.distrust), visit(a, s.distrust_at), visit(a, s.failures_in_row);
+    visit(a, s.skip_until), visit(a, s.out_until), visit(a, s.slow_at), visit(a, s.last_kept);
+    visit(a, s.cold_sent), visit(a, s.cold_chance), visit(a, s.delay), visit(a, s.mild), visit(a, s.ceiling);
+    visit(a, s.ceiling_at), visit(a, s.rounding), visit(a, s.draw), visit(a, s.sent_in_term);
+    visit(a, s.lost_in_term);
+    StateAccess::visit_state(a, s.excess);
+    visit(a, s.to_shed), visit(a, s.resets), visit(a, s.shed_gap), visit(a, s.shedding),
+        visit(a, s.spared_first);
+    visit(a, s.reset_at);
+}
+
+}  // namespace capture
+
+// Every field of the class, in its order: one that is left out shows in the test that plays on from a state.
+template <class A>
+void StateAccess::visit_state(A& a, Brain& b) {
+    using capture::visit;
+    visit(a, b.told_);
+    visit_state(a, b.chance_);
+    const size_t servers = capture::visit_size(a, b.servers_.size());
+    if constexpr (!A::writes) {
+        b.servers_.clear();
+        while (b.servers_.size() < servers) b.servers_.emplace_back(Span{1});
+    }
+    for (Server& s : b.servers_) visit(a, s);
+    visit(a, b.index_), visit(a, b.groups_);
+    size_t draws = capture::visit_size(a, b.draws_.size());
+    const auto visit_draw = [&](Brain::Draw& d) { visit(a, d.at), visit(a, d.order); };
+    if constexpr (A::writes) {
+        std::vector<std::string> names;
+        for (const auto& entry : b.draws_) names.push_back(entry.first);
+        std::sort(names.begin(), names.end());
+        for (std::string& name : names) visit(a, name), visit_draw(b.draws_.at(name));
+    } else {
+        b.draws_.clear();
+        for (std::string name; draws > 0; --draws) visit(a, name), visit_draw(b.draws_[name]);
+    }
+    visit(a, b.unusual_), visit(a, b.all_), visit(a, b.standing_), visit(a, b.pairs_),
+        visit(a, b.listed_weight_);
+    visit(a, b.plain_weight_), visit(a, b.listed_active_), visit(a, b.lists_), visit(a, b.used_);
+    visit(a, b.calls_), visit(a, b.held_), visit(a, b.type_load_), visit(a, b.type_seen_);
+    visit(a, b.all_load_), visit(a, b.all_seen_);
+    size_t keys = capture::visit_size(a, b.keys_.size());
+    const auto visit_key = [&](Brain::KeyNote& k) { visit(a, k.server), visit(a, k.at), visit(a, k.parked); };
+    if constexpr (A::writes) {
+        for (auto& [key, note] : b.keys_) {
+            std::string name = key;
+            visit(a, name), visit_key(note);
+        }
+    } else {
+        b.keys_.clear();
+        for (std::string name; keys > 0; --keys) visit(a, name), visit_key(b.keys_[name]);
+    }
+    visit(a, b.key_age_), visit(a, b.shortest_message_), visit(a, b.asked_), visit(a, b.watching_);
+    visit(a, b.hold_timer_), visit(a, b.asked_at_), visit(a, b.ask_pause_), visit(a, b.usual_weight_);
+}
+
+}  // namespace headrouter
--- /dev/null
+++ b/src/capture/replay.cpp
@@ -0,0 +1,131 @@
+#include "capture/replay.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+
+#include "wire/malformed.h"
+
+namespace headrouter::capture {
+
+void Player::restore(std::string_view state) {
+    Deployment any;
+    any.types.resize(1);
+    brain_.reset(new Brain(any, 0, *this, Instant{}));
+    capture::restore(*brain_, state);
+    did_.clear();
+}
+
+const std::vector<Did>& Player::tell(const Frame& f) {
+    did_.clear();
+    capture::tell(f, *brain_);
+    return did_;
+}
+
+void Player::send_leg(CallId c, const ServerId& s, Span span) {
+    did_.push_back({Did::What::send_leg, c, s, span});
+}
+void Player::reject(CallId c, Span span) { did_.push_back({Did::What::reject, c, {}, span}); }
+void Player::release(CallId c) { did_.push_back({Did::What::release, c}); }
+void Player::move(CallId c) { did_.push_back({Did::What::move, c}); }
+void Player::set_timer(Instant at, uint64_t token) {
+    did_.push_back({Did::What::set_timer, 0, {}, {}, at, token});
+}
+void Player::watch_list() { did_.push_back({Did::What::watch_list}); }
+
+Reading read_file(const std::string& path, const std::function<void(const Header&)>& header,
+                  const std::function<bool(const Block&)>& block) {
+    const std::unique_ptr<FILE, int (*)(FILE*)> file(std::fopen(path.c_str(), "rb"), std::fclose);
+    if (!file) throw Malformed("'" + path + "' cannot be read: " + std::strerror(errno));
+    return read_segment([&](char* into, size_t n) { return std::fread(into, 1, n, file.get()); }, header,
+                        block);
+}
+
+namespace {
+
+std::string difference(const Frame& f, const std::vector<Did>& here) {
+    size_t k = 0;
+    while (k < f.did.size() && k < here.size() && f.did[k] == here[k]) ++k;
+    const auto said = [&](const std::vector<Did>& all) {
+        return k < all.size() ? in_words(all[k]) : std::string("nothing more");
+    };
+    char at[32];
+    std::snprintf(at, sizeof at, "%.6f", in_seconds(f.at - Instant{}));
+    return std::string("at ") + at + " s, told: " + in_words(f) + "; action " + std::to_string(k + 1) +
+           " was: " + said(f.did) + "; is now: " + said(here);
+}
+
+}  // namespace
+
+Verdict replay(const std::vector<std::string>& paths, const Each& each) {
+    Verdict v;
+    Player player;
+    Header last_header;
+    const auto incomplete = [&](const std::string& why) {
+        v.what = Verdict::What::incomplete;
+        v.why = why;
+    };
+    for (const std::string& path : paths) {
+        bool goes_on = false, stop = false;
+        const Reading reading = read_file(
+            path,
+            [&](const Header& h) {
+                goes_on = v.segments > 0 && h.capture == last_header.capture &&
+                          h.segment == last_header.segment + 1;
+                last_header = h;
+                ++v.segments;
+            },
+            [&](const Block& b) {
+                if (b.kind == Kind::gap) {
+                    v.gap += b.count;
+                    goes_on = false;
+                    if (!player.ready()) return true;  // before the first state: nothing was played yet
+                    incomplete(path + ": a gap of " + std::to_string(b.count) +
+                               " events before this segment");
+                    return false;
+                }
+                try {
+                    if (b.kind == Kind::state) {
+                        if (goes_on && player.ready() && player.state() != b.bytes) {
+                            v.what = Verdict::What::differs;
+                            v.why = path +
+                                    ": the state at its head is not the one that the segment before leads to";
+                            return false;
+                        }
+                        player.restore(b.bytes);
+                        return true;
+                    }
+                    if (!player.ready()) throw Malformed("frames before a state");
+                    each_frame(b.bytes, [&](std::string_view bytes) {
+                        const Frame f = read(bytes);
+                        if (each && !each(player, f, nullptr)) return stop = true, false;
+                        if (v.frames++ == 0) v.first = f.at;
+                        v.last = f.at;
+                        const std::vector<Did>& did = player.tell(f);
+                        v.actions += did.size();
+                        if (each && !each(player, f, &did)) return stop = true, false;
+                        if (did == f.did) return true;
+                        v.what = Verdict::What::differs;
+                        v.why = path + ": " + difference(f, did);
+                        return false;
+                    });
+                } catch (const Malformed& e) {
+                    incomplete(path + ": " + e.what());
+                }
+                return v.what == Verdict::What::same && !stop;
+            });
+        if (v.what != Verdict::What::same || stop) return v;
+        if (reading.end == End::whole) continue;
+        const std::string how =
+            path + ": " + word(reading.end) + " at byte " + std::to_string(reading.at) + ": " + reading.why;
+        // A segment whose writer was killed between two blocks is whole as far as it goes; the next begins
+        // anew.
+        if (reading.end != End::open || &path == &paths.back()) return incomplete(how), v;
+        v.why = how;
+    }
+    if (v.what == Verdict::What::same && v.segments == 0) incomplete("no segments");
+    return v;
+}
+
+}  // namespace headrouter::capture
--- a/src/lab/demo.cpp
+++ b/src/lab/demo.cpp
@@ -37,17 +37,18 @@
     std::printf("2 balancers, 6 stand-in servers, %.0f s; a server dies at %.0f s and is back at %.0f s.\n",
                 seconds_long, seconds_long * 0.4, seconds_long * 0.6);
     std::fflush(stdout);
-    const Outcome o =
-        run_on_sockets(w, "demo", 1, program, stop, "", [](size_t second, const Outcome& now, size_t up) {
-            const double asked = now.asked_each[second], served = now.served_each[second];
-            std::printf("%3zu s  %4zu connections up, %3.0f%% well served  ", second, up,
-                        asked > 0 ? 100 * served / asked : 100);
-            if (!now.use_each.empty())
-                for (const float use : now.use_each.back())
-                    std::printf(use < 0 ? "  down" : "  %3.0f%%", use * 100.0);
-            std::printf("\n");
-            std::fflush(stdout);
-        });
+    Extras extras;
+    extras.each = [](size_t second, const Outcome& now, size_t up) {
+        const double asked = now.asked_each[second], served = now.served_each[second];
+        std::printf("%3zu s  %4zu connections up, %3.0f%% well served  ", second, up,
+                    asked > 0 ? 100 * served / asked : 100);
+        if (!now.use_each.empty())
+            for (const float use : now.use_each.back())
+                std::printf(use < 0 ? "  down" : "  %3.0f%%", use * 100.0);
+        std::printf("\n");
+        std::fflush(stdout);
+    };
+    const Outcome o = run_on_sockets(w, "demo", 1, program, stop, extras);
     std::printf("%llu calls, %llu up, %llu moved, %llu turned away; rules broken: %llu\n",
                 static_cast<unsigned long long>(o.calls), static_cast<unsigned long long>(o.up),
                 static_cast<unsigned long long>(o.moved), static_cast<unsigned long long>(o.busy),
--- a/src/lab/measures.cpp
+++ b/src/lab/measures.cpp
@@ -5,12 +5,18 @@
 #include <chrono>
 #include <cinttypes>
 #include <cstdio>
+#include <deque>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <set>
 #include <sstream>
 #include <thread>
+#include <utility>
 
+#include "capture/recorder.h"
+#include "capture/replay.h"
 #include "lab/experiment.h"
 #include "lab/runner.h"
 #include "lab/sockets_run.h"
@@ -313,13 +319,191 @@
     return ok ? 0 : failed;
 }
 
+// ---- captures ----
+
+struct TempFolder {
+    std::string path = "/tmp/headrouter-measure-XXXXXX";
+    TempFolder() {
+        if (!mkdtemp(path.data())) throw Malformed("no folder for the measurement");
+    }
+    ~TempFolder() {
+        std::error_code ignored;
+        std::filesystem::remove_all(path, ignored);
+    }
+};
+
+// A busy balancer pair with recording off, on, and on with the folder gone.
+int capture_cost(const Measuring& m) {
+    const World w = read_world("length = \"" + std::string(m.quick ? "12s" : "30s") + R"("
+judged_from = "4s"
+[fleet]
+servers = 6
+balancers = 2
+[traffic]
+use = 0.4
+ramp = "3s"
+groups = 40
+[[traffic.type]]
+load = 20
+hold = "3s"
+message_every = "500ms"
+message_target = "100ms"
+)",
+                               "capture-cost");
+    const int rounds = m.quick ? 1 : 4;
+    const char* names[] = {"off", "on", "on, folder gone"};
+    std::vector<double> cpu[3], p50[3], p99[3];
+    double bytes = 0, calls = 0;
+    std::string unjudged;
+    for (int round = 0; round < rounds; ++round)
+        for (int k = 0; k < 3; ++k) {
+            if (m.stop && m.stop->load()) return not_judged;
+            const TempFolder folder;
+            const std::string kept = folder.path + (k == 2 ? "/gone" : "/kept");
+            if (k == 1) std::filesystem::create_directory(kept);
+            Extras extras;
+            extras.operator_file = folder.path + "/operator.toml";
+            std::ofstream(extras.operator_file)
+                << (k ? "[capture]\non = true\nfolder = \"" + kept + "\"\n" : "");
+            double seconds_used = 0;
+            extras.cpu_seconds = &seconds_used;
+            const Outcome o =
+                run_on_sockets(w, names[k], static_cast<uint64_t>(round + 1), m.program, m.stop, extras);
+            if (!o.not_judged.empty()) unjudged = o.not_judged;
+            if (o.rules_broken() > 0) unjudged = "a rule broken: " + o.examples.front();
+            cpu[k].push_back(seconds_used / static_cast<double>(o.calls) * 1e6);
+            p50[k].push_back(in_seconds(o.delay_median[0]) * 1000);
+            p99[k].push_back(in_seconds(o.delay_99[0]) * 1000);
+            if (k != 1) continue;
+            calls += static_cast<double>(o.calls);
+            for (const auto& e : std::filesystem::directory_iterator(kept))
+                bytes += static_cast<double>(e.file_size());
+        }
+    std::printf("%-18s %16s %14s %14s\n", "recording", "CPU us a call", "delay p50 ms", "delay p99 ms");
+    for (int k = 0; k < 3; ++k)
+        std::printf("%-18s %16.1f %14.2f %14.2f\n", names[k], mean_of(cpu[k]).value, mean_of(p50[k]).value,
+                    mean_of(p99[k]).value);
+    const double more = mean_of(cpu[1]).value / mean_of(cpu[0]).value - 1;
+    const double later = mean_of(p99[1]).value - mean_of(p99[0]).value;
+    const Mean apart = paired_difference(cpu[1], cpu[0]);
+    // Delays are counted in steps of a fifth; one step is the noise.
+    const bool ok = unjudged.empty() && more < 0.03 && later <= 0.2 * mean_of(p99[0]).value + 0.01;
+    if (!unjudged.empty()) std::printf("not judged: %s\n", unjudged.c_str());
+    std::printf(
+        "machine: %s, 2 balancers x 6 servers, %.0f calls a run, %d round(s). CPU: the whole balancer, "
+        "messages "
+        "included; %+.1f us a call (+-%.1f).\n",
+        machine().c_str(), calls / rounds, rounds, apart.value, apart.half);
+    std::printf(
+        "{\"measure\":\"capture-cost\",\"ok\":%s,\"quick\":%s,\"cpu_more\":%.4f,\"p99_later_ms\":%.3f,"
+        "\"bytes_a_call\":%.1f,\"cpu_us_off\":%.1f,\"cpu_us_on\":%.1f,\"cpu_us_gone\":%.1f}\n",
+        ok ? "true" : "false", m.quick ? "true" : "false", more, later, bytes / std::max(1.0, calls),
+        mean_of(cpu[0]).value, mean_of(cpu[1]).value, mean_of(cpu[2]).value);
+    return ok ? 0 : unjudged.empty() ? failed : not_judged;
+}
+
+// The module told by itself, taken down to disk, then played: events a second, and the memory held.
+int replay_speed(const Measuring& m) {
+    const uint64_t wanted = m.quick ? 1'000'000 : 10'000'000;
+    const TempFolder folder;
+    struct Nobody : Actions {
+        std::vector<CallId> sent;
+        std::deque<std::pair<Instant, uint64_t>> timers;
+        void send_leg(CallId c, const ServerId&, Span) override { sent.push_back(c); }
+        void reject(CallId, Span) override {}
+        void release(CallId) override {}
+        void move(CallId) override {}
+        void set_timer(Instant at, uint64_t token) override { timers.emplace_back(at, token); }
+        void watch_list() override {}
+    } nobody;
+    const World w;
+    uint64_t frames = 0;
+    {
+        capture::Keeping keeping;
+        keeping.folder = folder.path;
+        keeping.keep_bytes = size_t{16} << 30;
+        keeping.queue_bytes = 512 << 20;  // this loop outruns any disk; a balancer does not
+        capture::Recorder recorder(keeping, "measure", "lab");
+        Instant now = Instant{} + seconds(1000);
+        capture::Ear ear(deployment_of(w, 0), 1, nobody, now);
+        ear.record_to(&recorder);
+        std::vector<Listed> list;
+        for (int k = 0; k < 30; ++k) list.push_back({server_name(k), 1, Condition::active, k % 2, 0, {}});
+        ear.list_told(now, ListKind::complete, list);
+        std::deque<CallId> standing;
+        for (CallId id = 1; recorder.frames() < wanted; ++id) {
+            if (m.stop && m.stop->load()) return not_judged;
+            now = now + millis(1);
+            Call call;
+            call.id = id;
+            call.key = std::to_string(id % 5000);
+            call.guard = now + seconds(2);
+            ear.call_arrived(now, call);
+            for (const CallId c : std::exchange(nobody.sent, {})) {
+                ear.leg_stands(now, c, 0, millis(2));
+                ear.load_told(now, c, 8000.0 + static_cast<double>(c % 1000));
+                standing.push_back(c);
+            }
+            if (standing.size() > 600) ear.call_gone(now, standing.front()), standing.pop_front();
+            while (!nobody.timers.empty() && nobody.timers.front().first <= now) {
+                const auto timer = nobody.timers.front();
+                nobody.timers.pop_front();
+                ear.timer_rang(now, timer.second);
+            }
+        }
+        ear.record_to(nullptr);
+        frames = recorder.frames();
+        if (recorder.dropped() > 0)
+            return std::printf("the disk did not keep up: %" PRIu64 " dropped\n", recorder.dropped()),
+                   not_judged;
+    }
+    const std::vector<std::string> paths = capture::segments_at(folder.path);
+    double bytes = 0;
+    for (const std::string& p : paths) bytes += static_cast<double>(std::filesystem::file_size(p));
+    const auto held = [] {  // resident now, in MB
+        std::ifstream in("/proc/self/statm");
+        double all = 0, resident = 0;
+        in >> all >> resident;
+        return resident * 4096 / 1e6;
+    };
+    double early = 0, late = 0;
+    uint64_t seen = 0;
+    const auto began = std::chrono::steady_clock::now();
+    const capture::Verdict v = capture::replay(
+        paths, [&](capture::Player&, const capture::Frame&, const std::vector<capture::Did>* did) {
+            if (did && ++seen == wanted / 5) early = held();
+            if (did && seen == wanted - 1) late = held();
+            return true;
+        });
+    const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+    const double speed = static_cast<double>(v.frames) / took;
+    const bool same = v.what == capture::Verdict::What::same && v.frames == frames;
+    const bool ok = same && speed > 500'000 && late < early * 1.2 + 5;
+    std::printf("%" PRIu64
+                " events in %zu segments, %.0f MB, %.1f bytes an event; replayed in %.1f s: %.0f events a "
+                "second, %s\n",
+                v.frames, paths.size(), bytes / 1e6, bytes / static_cast<double>(frames), took, speed,
+                same ? "the same" : v.why.c_str());
+    std::printf("memory held after a fifth %.0f MB, at the end %.0f MB\nmachine: %s, one thread\n", early,
+                late, machine().c_str());
+    std::printf("{\"measure\":\"replay-speed\",\"ok\":%s,\"quick\":%s,\"events\":%" PRIu64
+                ",\"events_a_second\":%.0f,\"mb_early\":%.1f,\"mb_late\":%.1f,\"same\":%s}\n",
+                ok ? "true" : "false", m.quick ? "true" : "false", v.frames, speed, early, late,
+                same ? "true" : "false");
+    return ok ? 0 : failed;
+}
+
 }  // namespace
 
-std::vector<std::string> measure_names() { return {"model-speed", "model-fit", "baselines"}; }
+std::vector<std::string> measure_names() {
+    return {"model-speed", "model-fit", "baselines", "capture-cost", "replay-speed"};
+}
 
 int measure(const std::string& name, const Measuring& m) {
     if (name == "model-speed") return model_speed(m);
     if (name == "model-fit") return model_fit(m);
+    if (name == "capture-cost") return capture_cost(m);
+    if (name == "replay-speed") return replay_speed(m);
     return baselines(m);
 }
 
--- a/src/lab/sockets_run.cpp
+++ b/src/lab/sockets_run.cpp
@@ -2,6 +2,8 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/time.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -25,8 +27,9 @@
 // One balancer, life after life. Ends only the process that it started.
 class Child {
    public:
-    Child(std::string program, std::string folder, std::string name)
+    Child(std::string program, std::string folder, std::string name, std::string operator_file)
         : program_(std::move(program)),
+          operator_file_(std::move(operator_file)),
           config_(folder + "/" + name + ".json"),
           log_(folder + "/" + name + ".log") {}
     Child(const Child&) = delete;
@@ -46,32 +49,40 @@
         dup2(log, 1), dup2(log, 2);
         for (const char* name : {"PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONFIG"})
             unsetenv(name);
-        execl(program_.c_str(), program_.c_str(), "serve", "--config", config_.c_str(), "--log", "warning",
-              static_cast<char*>(nullptr));
+        if (operator_file_.empty())
+            execl(program_.c_str(), program_.c_str(), "serve", "--config", config_.c_str(), "--log",
+                  "warning", static_cast<char*>(nullptr));
+        else
+            execl(program_.c_str(), program_.c_str(), "serve", "--config", config_.c_str(), "--log",
+                  "warning", "--operator", operator_file_.c_str(), static_cast<char*>(nullptr));
         _exit(127);
     }
     void kill() {
         if (pid_ <= 0) return;
         ::kill(pid_, SIGKILL);
-        waitpid(pid_, nullptr, 0);
-        pid_ = -1;
+        reap(0);
     }
     void ask_to_leave() {
         if (pid_ > 0) ::kill(pid_, SIGTERM);
     }
     // Ended by itself, which no balancer does under load.
-    bool crashed() {
-        int status = 0;
-        if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return false;
-        pid_ = -1;
-        return true;
-    }
+    bool crashed() { return pid_ > 0 && reap(WNOHANG); }
     bool runs() const { return pid_ > 0; }
     const std::string& log() const { return log_; }
+    double cpu_seconds() const { return cpu_; }  // of the lives that are over
 
    private:
-    std::string program_, config_, log_;
+    bool reap(int how) {
+        rusage used{};
+        if (wait4(pid_, nullptr, how, &used) != pid_) return false;
+        for (const timeval& t : {used.ru_utime, used.ru_stime})
+            cpu_ += static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+        pid_ = -1;
+        return true;
+    }
+    std::string program_, operator_file_, config_, log_;
     pid_t pid_ = -1;
+    double cpu_ = 0;
 };
 
 struct Folder {
@@ -114,8 +125,7 @@
 }
 
 Outcome run_on_sockets(const World& w, const std::string& arm, uint64_t seed, const std::string& program,
-                       const std::atomic<bool>* stop, const std::string& log_folder,
-                       const std::function<void(size_t, const Outcome&, size_t)>& each) {
+                       const std::atomic<bool>* stop, const Extras& extras) {
     const auto began = std::chrono::steady_clock::now();
     Outcome out;
     out.arm = arm;
@@ -134,13 +144,14 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     if (access(program.c_str(), X_OK) != 0) throw std::runtime_error("'" + program + "' cannot be run");
-    const Folder folder(log_folder);
+    const Folder folder(extras.log_folder);
     struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
     {
         standin::Rig rig(loop, w, seed, out);
         std::vector<std::unique_ptr<Child>> children;
         for (int b = 0; b < w.balancers; ++b) {
-            children.push_back(std::make_unique<Child>(program, folder.path, rig.seat(b).name));
+            children.push_back(
+                std::make_unique<Child>(program, folder.path, rig.seat(b).name, extras.operator_file));
             children[b]->start(rig.fresh_config(b));
         }
         const auto turn = [&] { ev_run(loop, EVRUN_ONCE); };
@@ -163,7 +174,8 @@
         size_t told = 0;
         while (!rig.finished() && !stopped()) {
             turn();
-            for (; each && told + 1 < out.asked_each.size(); ++told) each(told, out, rig.crowd().up());
+            for (; extras.each && told + 1 < out.asked_each.size(); ++told)
+                extras.each(told, out, rig.crowd().up());
             for (auto& child : children)
                 if (child->crashed()) crash = "a balancer ended by itself: " + last_line(child->log());
         }
@@ -180,6 +192,10 @@
         const Instant last = Clock::now() + end_patience;
         for (auto& child : children)
             while (child->runs() && !child->crashed() && Clock::now() < last) turn();
+        for (auto& child : children) {
+            child->kill();
+            if (extras.cpu_seconds) *extras.cpu_seconds += child->cpu_seconds();
+        }
         ev_timer_stop(loop, &beat);
     }
     ev_loop_destroy(loop);
--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -60,6 +60,7 @@
 }
 
 Balancer::~Balancer() {
+    exchange_.record_to(nullptr);
     ev_timer_stop(loop_, &rings_);
     ev_timer_stop(loop_, &looks_);
 }
@@ -160,11 +161,44 @@
     servers_.look_after(now);
     clients_.look_for_silent(now);
     exchange_.look_after();
+    look_after_recorder();
     if (!leaving_) return;
     const bool done = exchange_.all_gone() && client_farewell_.size() + server_farewell_.size() == 0;
     if (now >= exit_at_ || (done && now >= arrivals_end_)) ev_break(loop_, EVBREAK_ALL);
 }
 
+void Balancer::record(const capture::Keeping& keeping) {
+    stop_recording();
+    recorder_ = std::make_unique<capture::Recorder>(keeping, boot_.name, HEADROUTER_VERSION);
+    exchange_.record_to(recorder_.get());
+    log_.info() << "recording to " << keeping.folder;
+}
+
+void Balancer::stop_recording() {
+    if (!recorder_) return;
+    exchange_.record_to(nullptr);
+    look_after_recorder();
+    recorder_.reset();
+    capture_faults_ = capture_dropped_ = capture_frames_ = 0;
+    log_.info() << "recording stopped";
+}
+
+// One line for each trouble with the disk, and one when it is over; calls go on whatever it does.
+void Balancer::look_after_recorder() {
+    if (!recorder_) return;
+    recorder_->tick(Clock::now());
+    counters_.add(Count::capture_events,
+                  recorder_->frames() - std::exchange(capture_frames_, recorder_->frames()));
+    counters_.add(Count::capture_dropped,
+                  recorder_->dropped() - std::exchange(capture_dropped_, recorder_->dropped()));
+    const uint64_t faults = recorder_->faults();
+    if (faults == capture_faults_) return;
+    if (capture_faults_ == 0)
+        log_.warning() << "recording: " << recorder_->last_fault() << "; tried again, calls go on";
+    counters_.add(Count::capture_faults, faults - capture_faults_);
+    capture_faults_ = faults;
+}
+
 void Balancer::begin_leaving() {
     if (leaving_) return;
     leaving_ = true;
--- a/src/net/balancer.h
+++ b/src/net/balancer.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "capture/recorder.h"
 #include "net/boot.h"
 #include "net/client_side.h"
 #include "net/discovery.h"
@@ -28,8 +29,13 @@
     void refuse_reload(const std::string& why);
     void begin_leaving();  // moves or answers everyone, then breaks the loop
     const Counters& counters() const { return counters_; }
+    // Takes down what the module is told from now on; a second one in place of the first begins a new recording.
+    void record(const capture::Keeping&);
+    void stop_recording();
+    bool records() const { return recorder_ != nullptr; }
 
    private:
+    void look_after_recorder();
     void ring();
     void arm();
     void set_timer(Instant, uint64_t token);
@@ -51,6 +57,8 @@
     ServerSide servers_;
     Exchange exchange_;
     std::unique_ptr<Discovery> discovery_, next_discovery_;  // the next one has not answered yet
+    std::unique_ptr<capture::Recorder> recorder_;
+    uint64_t capture_faults_ = 0, capture_dropped_ = 0, capture_frames_ = 0;  // of it, as counted last
     bool leaving_ = false;
     Instant arrivals_end_, exit_at_;
 };
--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -28,7 +28,8 @@
     "  -o, --operator FILE the operator's own file, in TOML (deploy/operator.example.toml)\n"
     "\n"
     "PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY, where set, win over the file.\n"
-    "Signals to serve: TERM and INT leave in an orderly way, USR1 prints the counters, HUP reads the\n"
+    "Signals to serve: TERM and INT leave in an orderly way, USR1 prints the counters, USR2 turns\n"
+    "recording on and off (the operator's file says where to), HUP reads the\n"
     "configuration and the operator's file again (its discovery then wins over PROXY_DISCOVERY).\n";
 
 // What was said on the command line, which wins over the operator's file.
@@ -56,7 +57,15 @@
     return text.str();
 }
 
-int serve(const Boot& boot, const Said& said, const Clock& clock, Log& log) {
+// What the operator's file says of recording: begun anew where it goes on, so that new bounds count.
+void set_recording(Balancer& balancer, const OperatorFile& file) {
+    if (file.capture && (file.capture->on || balancer.records()))
+        balancer.record(file.capture->keeping);
+    else
+        balancer.stop_recording();
+}
+
+int serve(const Boot& boot, const Said& said, OperatorFile file, const Clock& clock, Log& log) {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // until the loop listens: it must not end a balancer that still starts
     struct ev_loop* loop = ev_default_loop(EVFLAG_AUTO);
@@ -64,9 +73,10 @@
     struct Asked {
         Balancer& balancer;
         const Said& said;
+        OperatorFile& file;
         const Clock& clock;
         Log& log;
-    } asked{balancer, said, clock, log};
+    } asked{balancer, said, file, clock, log};
     const auto leave = [](struct ev_loop*, ev_signal* w, int) {
         static_cast<Asked*>(w->data)->balancer.begin_leaving();
     };
@@ -77,33 +87,50 @@
     const auto reload = [](struct ev_loop*, ev_signal* w, int) {
         Asked& a = *static_cast<Asked*>(w->data);
         try {  // both are read before anything is taken over
-            const OperatorFile file = operator_file(a.said);
+            OperatorFile now = operator_file(a.said);
             a.balancer.reload(read_boot_here(a.said.path, a.clock, Read::again));
-            set_log(a.log, file);
+            a.file = std::move(now);
+            set_log(a.log, a.file);
+            set_recording(a.balancer, a.file);
         } catch (const Malformed& fault) {
             a.balancer.refuse_reload(fault.what());
         }
     };
-    ev_signal term, interrupt, user, hang_up;
+    const auto toggle_recording = [](struct ev_loop*, ev_signal* w, int) {
+        Asked& a = *static_cast<Asked*>(w->data);
+        if (!a.file.capture)
+            a.log.warning() << "recording: the operator's file has no [capture] with a folder";
+        else if (a.balancer.records())
+            a.balancer.stop_recording();
+        else
+            a.balancer.record(a.file.capture->keeping);
+    };
+    ev_signal term, interrupt, user, other_user, hang_up;
     ev_signal_init(&term, leave, SIGTERM);
     ev_signal_init(&interrupt, leave, SIGINT);
     ev_signal_init(&user, print, SIGUSR1);
+    ev_signal_init(&other_user, toggle_recording, SIGUSR2);
     ev_signal_init(&hang_up, reload, SIGHUP);
-    for (ev_signal* s : {&term, &interrupt, &user, &hang_up}) s->data = &asked, ev_signal_start(loop, s);
+    for (ev_signal* s : {&term, &interrupt, &user, &other_user, &hang_up})
+        s->data = &asked, ev_signal_start(loop, s);
+    set_recording(balancer, file);
     balancer.start();
     ev_run(loop, 0);
-    for (ev_signal* s : {&term, &interrupt, &user, &hang_up}) ev_signal_stop(loop, s);
+    for (ev_signal* s : {&term, &interrupt, &user, &other_user, &hang_up}) ev_signal_stop(loop, s);
     log.info() << printed(balancer.counters());
     return 0;
 }
 
-int check(const Boot& boot) {
+int check(const Boot& boot, const OperatorFile& file) {
     std::cout << "name " << boot.name << ", listens on " << boot.listen << ", discovery at " << boot.discovery
               << "\n"
               << boot.told.types.size() << " traffic types, " << boot.told.tenants.size() << " tenants, "
               << boot.told.zones.size() << " zones, " << boot.known.entries.size() << " servers known ("
               << boot.known.unreadable << " unreadable)\n"
               << boot.descriptors << " descriptors, " << boot.memory_mb << " MB\n";
+    if (file.capture)
+        std::cout << "captures in " << file.capture->keeping.folder
+                  << (file.capture->on ? "" : ", off until SIGUSR2") << "\n";
     return 0;
 }
 }  // namespace
@@ -147,8 +174,9 @@
         if (said.path.empty()) throw Malformed("PROXY_CONFIG is not set: it names the configuration file");
         const Boot boot = read_boot_here(said.path, clock, Read::at_start);
         Log log(std::clog, Level::info, boot.name);
-        set_log(log, operator_file(said));
-        return command == "check" ? check(boot) : serve(boot, said, clock, log);
+        OperatorFile file = operator_file(said);
+        set_log(log, file);
+        return command == "check" ? check(boot, file) : serve(boot, said, std::move(file), clock, log);
     } catch (const Malformed& fault) {
         std::cerr << "headrouter: " << fault.what() << "\n";
         return 1;
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -45,6 +45,9 @@
     "refused_for_descriptors",
     "refused_for_memory",
     "accepts_failed",
+    "capture_events",
+    "capture_dropped",
+    "capture_faults",
     "broken_invariants"};
 
 void Counters::print(std::ostream& out) const {
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -48,6 +48,9 @@
     refused_for_descriptors,
     refused_for_memory,
     accepts_failed,
+    capture_events,
+    capture_dropped,
+    capture_faults,
     broken_invariants,
     how_many
 };
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -251,7 +251,7 @@
 
 void Exchange::told_again(const Told& now) {
     told_ = realigned(told_, now);
-    brain_.told_again(told_.deployment);
+    brain_.told_again(clock_.now(), told_.deployment);
 }
 
 void Exchange::timer_rang(uint64_t token) {
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "brain.h"
+#include "capture/ear.h"
 #include "net/clock.h"
 #include "net/counters.h"
 #include "net/log.h"
@@ -52,6 +53,7 @@
     void begin_leaving(Span over);
     bool all_gone() const { return flows_.empty(); }
     const Told& told() const { return told_; }
+    void record_to(capture::Tape* tape) { brain_.record_to(tape); }
 
    private:
     struct Flow {
@@ -100,7 +102,7 @@
     bool acting_ = false;
     std::optional<Instant> leaving_from_, leaving_until_;
     BucketRing<5> came_back_{seconds(1)};  // calls whose connections had broken or been moved
-    Brain brain_;                          // last: it sets its first timer while it is made
+    capture::Ear brain_;                   // last: it sets its first timer while it is made
 };
 
 }  // namespace headrouter
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -17,11 +17,29 @@
     f.finish();
 }
 
+static void read_capture(Fields f, OperatorFile::Capture& c) {
+    const Span least = seconds(1), most = seconds(366.0 * 86400);
+    int segment_mb = 16, keep_mb = 1024, queue_mb = 8;
+    f.text("folder", c.keeping.folder);
+    if (c.keeping.folder.empty()) f.wrong("folder", "the path of a folder");
+    f.flag("on", c.on);
+    f.whole("segment_mb", segment_mb, 1, 1024);
+    f.span("segment_age", c.keeping.segment_age, least, most);
+    f.whole("keep_mb", keep_mb, 1, 1 << 20);
+    f.span("keep_age", c.keeping.keep_age, least, most);
+    f.whole("queue_mb", queue_mb, 1, 1024);
+    f.finish();
+    c.keeping.segment_bytes = static_cast<size_t>(segment_mb) << 20;
+    c.keeping.keep_bytes = static_cast<size_t>(keep_mb) << 20;
+    c.keeping.queue_bytes = static_cast<size_t>(queue_mb) << 20;
+}
+
 OperatorFile read_operator(const std::string& text, const std::string& file) {
     const toml::table root = parse_toml(text, file);
     Fields f(root, file, "");
     OperatorFile o;
     for (const Fields& log : f.table("log")) read_log(log, o);
+    for (const Fields& c : f.table("capture")) read_capture(c, o.capture.emplace());
     f.finish();
     return o;
 }
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "capture/recorder.h"
 #include "net/log.h"
 
 namespace headrouter {
@@ -11,6 +12,11 @@
 struct OperatorFile {
     std::optional<Level> log_level;
     std::optional<Log::Form> log_form;
+    struct Capture {
+        bool on = false;  // from the start; SIGUSR2 turns it on and off
+        capture::Keeping keeping;
+    };
+    std::optional<Capture> capture;  // nothing: there is nowhere to keep one
 };
 
 // Throws Malformed: file, line, key, what was expected.
--- /dev/null
+++ b/tests/capture/test_replay.cpp
@@ -0,0 +1,148 @@
+#include "capture/edit.h"
+#include "capture/explain.h"
+#include "captured.h"
+
+using namespace headrouter::capture;
+using What = Verdict::What;
+
+static Case a_bad_day_replays_to_the_same_decisions_twice([] {
+    const Folder folder;
+    const std::string path = folder.file(small_capture());
+    for (int k = 0; k < 2; ++k) {
+        const Verdict v = replay({path});
+        assert(v.what == What::same && v.why.empty() && v.frames > 400 && v.actions > 250);
+    }
+});
+
+static Case a_state_brought_back_goes_on_as_the_one_it_was_taken_from([] {
+    Memory whole, part;
+    Story a(&whole);
+    a.bad_day();
+    part.wants = true;
+    a.ear.record_to(&part);  // from the middle of its life
+    a.steps(200, millis(15));
+    a.crash("B");
+    a.steps(100, millis(30));
+    const Folder folder;
+    const Verdict v = replay({folder.file(part.done())});
+    assert(v.what == What::same && v.frames > 300);
+});
+
+static Case a_segment_leads_to_the_state_at_the_head_of_the_next([] {
+    Memory tape;
+    Story s(&tape);
+    s.bad_day();
+    const std::string first = tape.done();
+    tape.bytes.clear();
+    tape.wants = true;
+    s.steps(50, millis(20));
+    const std::string second = tape.done();
+    const Folder folder;
+    const std::string a = folder.file(first, "1.hrc"), b = folder.file(second, "2.hrc");
+    assert(replay({a, b}).what == What::same && replay({b}).what == What::same);
+    // One that another module led to, under the same recording's name.
+    Memory other;
+    Story t(&other, Story::grouped(), 4);
+    t.bad_day();
+    other.bytes.clear();
+    other.open = Block{};
+    other.wants = true;
+    t.steps(1, millis(20));
+    const Verdict v = replay({a, folder.file(other.done(), "3.hrc")});
+    assert(v.what == What::differs && v.why.find("the state at its head") != std::string::npos);
+});
+
+static Case a_changed_decision_is_named_with_the_event_before_it([] {
+    Memory tape;
+    Story s(&tape);
+    s.bad_day();
+    // One action of one frame says another server: as if this build decided otherwise.
+    Block changed;
+    int at = 0;
+    std::string told;
+    each_frame(tape.open.bytes, [&](std::string_view bytes) {
+        Frame f = read(bytes);
+        for (Did& d : f.did)
+            if (d.what == Did::What::send_leg && ++at == 40) d.server = "nowhere", told = in_words(f);
+        std::string again;
+        write(f, again);
+        add_frame(changed.bytes, again);
+        ++changed.count;
+        return true;
+    });
+    tape.open = changed;
+    const Folder folder;
+    const Verdict v = replay({folder.file(tape.done())});
+    assert(v.what == What::differs && v.why.find(told) != std::string::npos);
+    assert(v.why.find("was: send call") != std::string::npos &&
+           v.why.find("to nowhere") != std::string::npos);
+});
+
+static Case why_tells_what_was_seen_when_a_call_was_placed([] {
+    const Folder folder;
+    const Why w = why({folder.file(small_capture())}, 70);
+    assert(w.verdict.what == What::same);
+    for (const char* said :
+         {"call arrived 70", "-> send call 70 to ", "own load", "distrust", "skipped after failures"})
+        assert(w.text.find(said) != std::string::npos);
+    assert(why({folder.file(small_capture())}, 999'999).text.empty());
+});
+
+static Case a_part_cut_out_replays_by_itself([] {
+    const Folder folder;
+    const std::string whole = folder.file(small_capture()), part = folder.path + "/part.hrc";
+    assert(cut({whole}, seconds(2), seconds(4), part).what == What::same);
+    const Verdict v = replay({part});
+    assert(v.what == What::same && v.frames > 50 && v.frames < replay({whole}).frames);
+    assert(v.first - replay({whole}).first >= seconds(2));
+});
+
+static Case an_anonymous_one_names_nobody_and_replays_to_itself([] {
+    const Folder folder;
+    const std::string whole = folder.file(small_capture()), hidden = folder.path + "/hidden.hrc";
+    assert(anonymise({whole}, hidden).what == What::same);
+    const Verdict v = replay({hidden});
+    assert(v.what == What::same && v.frames == replay({whole}).frames);
+    bool named = false;
+    read_file(
+        hidden, [](const Header&) {},
+        [&](const Block& b) {
+            named = named || b.bytes.find("group") != std::string::npos ||
+                    b.bytes.find("key") != std::string::npos;
+            return true;
+        });
+    assert(!named);
+});
+
+static Case a_gap_stops_a_replay_openly([] {
+    Memory tape;
+    Story s(&tape);
+    s.bad_day();
+    std::string bytes = tape.done();
+    Memory after;
+    after.wants = true;
+    s.ear.record_to(&after);
+    s.steps(5, millis(20));
+    const std::string whole = after.done();
+    const std::string head = header_bytes({"test", "n", 77, 0, 0, after.open.first});
+    // As the recorder writes it: the gap between the header and the state.
+    Memory dummy;
+    std::string with_gap;
+    read_segment(
+        [from = std::string_view(whole)](char* into, size_t n) mutable {
+            n = std::min(n, from.size());
+            from.copy(into, n);
+            from.remove_prefix(n);
+            return n;
+        },
+        [&](const Header& h) {
+            with_gap = header_bytes(h) + block_bytes({Kind::gap, 17, {}, {}, {}});
+        },
+        [&](const Block& b) { return with_gap += block_bytes(b), true; });
+    with_gap += block_bytes({Kind::index, 0, {}, {}, {}});
+    const Folder folder;
+    const Verdict v = replay({folder.file(bytes, "1.hrc"), folder.file(with_gap, "2.hrc")});
+    assert(v.what == What::incomplete && v.gap == 17 &&
+           v.why.find("a gap of 17 events") != std::string::npos);
+    assert(replay({folder.path + "/2.hrc"}).what == What::same);  // by itself it is whole
+});
--- /dev/null
+++ b/tests/capture/test_segment.cpp
@@ -0,0 +1,151 @@
+// The reader against whatever a disk may bring: every prefix, every flipped byte, and a row of random damage.
+#include "captured.h"
+
+using namespace headrouter::capture;
+
+struct Got {
+    Reading reading;
+    int blocks = 0, headers = 0;
+    uint64_t frames = 0;
+};
+
+static Got read_bytes(std::string_view bytes) {
+    Got g;
+    g.reading = read_segment(
+        [&](char* into, size_t n) {
+            n = std::min(n, bytes.size());
+            bytes.copy(into, n);
+            bytes.remove_prefix(n);
+            return n;
+        },
+        [&](const Header&) { ++g.headers; },
+        [&](const Block& b) {
+            ++g.blocks;
+            if (b.kind == Kind::frames)
+                each_frame(b.bytes, [&](std::string_view f) { return read(f), ++g.frames, true; });
+            return true;
+        });
+    return g;
+}
+
+// Several blocks, and small, so that every byte can be tried.
+static std::string little_capture() {
+    Memory tape;
+    Story s(&tape);
+    s.list(some_servers(3));
+    for (int k = 0; k < 4; ++k) s.steps(3, millis(30)), tape.finish_block();
+    return tape.done();
+}
+
+static Case a_whole_one_is_read_whole([] {
+    const Got g = read_bytes(little_capture());
+    assert(g.reading.end == End::whole && g.headers == 1 && g.blocks == 5 && g.frames > 20);
+});
+
+static Case every_prefix_reads_as_far_as_it_is_whole([] {
+    const std::string all = little_capture();
+    const Folder folder;
+    uint64_t before = 0;
+    int opens = 0;
+    for (size_t n = 0; n < all.size(); ++n) {
+        const Got g = read_bytes(std::string_view(all).substr(0, n));
+        assert(g.reading.end == End::cut_off || g.reading.end == End::open);
+        assert(g.reading.at <= n && g.frames >= before);  // more bytes never tell less
+        before = g.frames;
+        opens += g.reading.end == End::open;
+        if (n % 97 != 0) continue;
+        const Verdict v = replay({folder.file(all.substr(0, n))});
+        assert(v.what == Verdict::What::incomplete && v.frames == g.frames && !v.why.empty());
+    }
+    assert(opens == 6);  // after the header and after each of five blocks
+});
+
+static Case every_flipped_byte_is_found_or_does_no_harm([] {
+    const std::string all = little_capture();
+    const uint64_t frames = read_bytes(all).frames;
+    size_t harmless = 0;
+    for (size_t k = 0; k < all.size(); ++k) {
+        std::string bad = all;
+        bad[k] = static_cast<char>(bad[k] ^ 0x41);
+        const Got g = read_bytes(bad);
+        if (g.reading.end == End::whole) {
+            ++harmless;
+            assert(g.frames == frames);
+        }
+    }
+    assert(harmless == 0);  // there is no byte outside a checksum
+});
+
+static Case random_damage_never_crashes_the_reader([] {
+    const std::string all = little_capture();
+    Pcg32 chance(4);
+    for (int round = 0; round < 3000; ++round) {
+        std::string bad = all;
+        const int times = 1 + static_cast<int>(chance.uniform() * 8);
+        for (int k = 0; k < times; ++k) {
+            const auto at = static_cast<size_t>(chance.uniform() * double(bad.size()));
+            if (chance.uniform() < 0.3)
+                bad.erase(at, static_cast<size_t>(chance.uniform() * 40));
+            else if (chance.uniform() < 0.3)
+                bad.insert(at, bad.substr(static_cast<size_t>(chance.uniform() * double(bad.size())), 20));
+            else
+                bad[at] = static_cast<char>(chance.next());
+        }
+        const Got g = read_bytes(bad);
+        assert(bad == all || g.reading.end != End::whole || g.frames <= read_bytes(all).frames);
+    }
+});
+
+// Behind a right checksum too, as from a writer with a fault: frames and states of any bytes.
+static Case any_bytes_for_a_frame_or_a_state_are_refused_or_read([] {
+    Memory tape;
+    Story s(&tape);
+    s.list(some_servers(3));
+    s.steps(10, millis(30));
+    std::vector<std::string> frames;
+    each_frame(tape.open.bytes, [&](std::string_view f) { return frames.emplace_back(f), true; });
+    Pcg32 chance(8);
+    int refused = 0;
+    for (int round = 0; round < 20'000; ++round) {
+        std::string f = frames[static_cast<size_t>(chance.uniform() * double(frames.size()))];
+        f[static_cast<size_t>(chance.uniform() * double(f.size()))] = static_cast<char>(chance.next());
+        if (chance.uniform() < 0.2) f.resize(static_cast<size_t>(chance.uniform() * double(f.size())));
+        try {
+            read(f);
+        } catch (const Malformed&) {
+            ++refused;
+        }
+    }
+    assert(refused > 100);
+    Player p;
+    for (const char* bad : {"", "x", "\xff\xff\xff\xff\xff\xff\xff\xff\xff"}) try {
+            p.restore(bad);
+            assert(false);
+        } catch (const Malformed&) {
+        }
+});
+
+static Case a_newer_major_is_left_alone_and_said([] {
+    std::string newer = little_capture();
+    newer[8] = 2;
+    const Got g = read_bytes(newer);
+    assert(g.reading.end == End::too_new && g.reading.why == "format 2; this build reads 1" && g.blocks == 0);
+});
+
+static Case a_newer_minor_with_a_kind_of_block_unknown_here_is_read([] {
+    const std::string all = little_capture();
+    std::string with;
+    read_segment(
+        [from = std::string_view(all)](char* into, size_t n) mutable {
+            n = std::min(n, from.size());
+            from.copy(into, n);
+            from.remove_prefix(n);
+            return n;
+        },
+        [&](const Header& h) { with = header_bytes(h); },
+        [&](const Block& b) {
+            return with += block_bytes({static_cast<Kind>('Z'), 1, {}, {}, "new"}) + block_bytes(b), true;
+        });
+    with += block_bytes({Kind::index, 0, {}, {}, {}});
+    assert(read_bytes(with).reading.end == End::whole && read_bytes(with).frames == read_bytes(all).frames);
+});
--- a/tests/lab/test_experiment.cpp
+++ b/tests/lab/test_experiment.cpp
@@ -138,7 +138,8 @@
     std::ofstream(file)
         << "length = \"8s\"\njudged_from = \"2s\"\n[fleet]\nservers = 3\n[[arm]]\npolicy = \"random\"\n";
     assert(lab_ends_with("run " + file + " --out " + out) == 0 && std::filesystem::file_size(out) > 100);
-    assert(lab_ends_with("run " + file + " --on sockets") == 2);  // the program itself plays there, not a baseline
+    assert(lab_ends_with("run " + file + " --on sockets") ==
+           2);  // the program itself plays there, not a baseline
     assert(lab_ends_with("report " + out + " -o " + (folder / "r.html").string()) == 0);
     assert(lab_ends_with("measure nothing") != 0);
     std::filesystem::remove_all(folder);
--- a/tests/operator/test_operator.cpp
+++ b/tests/operator/test_operator.cpp
@@ -17,7 +17,7 @@
     for (const auto& [text, said] :
          {std::pair{"[log]\nformat = \"xml\"", "o.toml:2: log.format: expected one of text, json"},
           {"[log]\nlevel = 3", "o.toml:2: log.level: expected a text"},
-          {"[logs]\n", "o.toml:1: logs: no such key; expected one of log"}})
+          {"[logs]\n", "o.toml:1: logs: no such key; expected one of capture, log"}})
         try {
             read_operator(text, "o.toml");
             assert(false);
@@ -26,6 +26,19 @@
         }
 });
 
+static Case a_capture_needs_a_folder_and_takes_its_bounds([] {
+    const OperatorFile o = read_operator(
+        "[capture]\nfolder = \"/x\"\non = true\nsegment_mb = 2\nkeep_age = \"24h\"\n", "o.toml");
+    assert(o.capture->on && o.capture->keeping.folder == "/x" && o.capture->keeping.segment_bytes == 2 << 20);
+    assert(o.capture->keeping.keep_age == seconds(86400) && o.capture->keeping.keep_bytes == size_t{1} << 30);
+    try {
+        read_operator("[capture]\non = true\n", "o.toml");
+        assert(false);
+    } catch (const Malformed& e) {
+        assert(std::string(e.what()) == "o.toml:1: capture.folder: expected the path of a folder");
+    }
+});
+
 static Case the_example_is_the_default([] {
     const OperatorFile o = read_operator_file(EXAMPLE);
     assert(o.log_level == Level::info && o.log_form == Log::Form::text);
--- a/tests/standin/test_rig.cpp
+++ b/tests/standin/test_rig.cpp
@@ -1,8 +1,10 @@
 // The rig with real balancers in the test's own loop, which must keep every rule through each trouble.
+#include <filesystem>
 #include <iostream>
 #include <map>
 #include <sstream>
 
+#include "capture/replay.h"
 #include "net/balancer.h"
 #include "peers.h"
 
@@ -24,21 +26,24 @@
     headrouter::standin::Rig& rig;
     std::ostringstream said;
     Log log{said, Level::warning};
-    std::map<int, Life> lives;
+    capture::Keeping keeping{};
+    std::map<int, Life> lives{};
     void start(int b) {
         Life& life = lives[b];
         life.boot = read_boot(rig.fresh_config(b), life.clock);
         life.balancer = std::make_unique<Balancer>(loop.loop, life.boot, life.clock, log);
+        if (!keeping.folder.empty()) life.balancer->record(keeping);
         life.balancer->start();
     }
     void kill(int b) { lives[b].balancer.reset(); }
 };
 
-static Played play_real(const World& w, std::map<std::string, uint64_t>* counted = nullptr) {
+static Played play_real(const World& w, std::map<std::string, uint64_t>* counted = nullptr,
+                        const capture::Keeping& keeping = {}) {
     Loop loop;
     Played p;
     headrouter::standin::Rig rig(loop.loop, w, 3, p.out);
-    Real real{loop, rig, {}, Log{std::cerr, Level::error}, {}};
+    Real real{loop, rig, {}, Log{std::cerr, Level::error}, keeping, {}};
     for (int b = 0; b < w.balancers; ++b) real.start(b);
     for (int b = 0; b < w.balancers; ++b) assert(loop.until([&] { return rig.ready(b); }));
     rig.begin({[&](int b) { real.start(b); }, [&](int b) { real.kill(b); }});
@@ -87,6 +92,24 @@
     }
 });
 
+static Case what_a_real_one_was_told_on_a_bad_day_replays([] {
+    capture::Keeping keeping;
+    keeping.folder = (std::filesystem::temp_directory_path() / ("rig-" + std::to_string(getpid()))).string();
+    std::filesystem::create_directories(keeping.folder);
+    World w = real_world();
+    w.troubles.push_back({TroubleKind::crash, Instant{} + seconds(1.2), seconds(1), 0.5, 1});
+    w.troubles.push_back({TroubleKind::burst, Instant{} + seconds(2.4), seconds(1), 1, 4});
+    assert(play_real(w, nullptr, keeping).out.rules_broken() == 0);
+    const std::vector<std::string> paths = capture::segments_at(keeping.folder);
+    for (const std::string& path : paths) {
+        const capture::Verdict v = capture::replay({path});
+        if (!v.why.empty()) std::cerr << v.why << "\n";
+        assert(v.what == capture::Verdict::What::same && v.frames > 100);
+    }
+    assert(paths.size() == 2);
+    std::filesystem::remove_all(keeping.folder);
+});
+
 static Case a_lab_that_is_short_or_late_says_so_instead_of_judging([] {
     Loop loop;
     Outcome out;
