--- a/src/capture/ear.h
+++ b/src/capture/ear.h
@@ -31,6 +31,7 @@
     void timer_rang(Instant, uint64_t token);
     void probe_ended(Instant, const ServerId&, Ending, Span took, const LoadReport&);
     const Deployment& told() const { return brain_.told(); }
+    bool knows(const ServerId& id) const { return brain_.knows(id); }
 
    private:
     Frame* begin(Told, Instant);  // nullptr: nobody records
--- /dev/null
+++ b/src/lab/from_capture.h
@@ -0,0 +1,29 @@
+// A capture's arrivals and list as a run of the model: the same clients come at the same times and the same
+// servers drain, go and return, but what follows from the decisions follows anew (closed loop), with this
+// build.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "fleet/script.h"
+#include "fleet/session.h"
+#include "model/run.h"
+
+namespace headrouter::lab {
+
+struct FromCapture {
+    model::Given given;
+    std::vector<std::string> servers;  // as the capture names them, in the order of the model's numbers
+    int types = 0;                     // traffic types that its calls name
+    Span length;
+    uint64_t calls = 0, clients = 0;
+};
+
+// One balancer's recording. A client is a key: from its first call to the end of its last one, or the
+// capture's. Throws Malformed where nothing can be played.
+FromCapture read_capture(const std::vector<std::string>& paths);
+
+// The experiment's first arm on that: its servers and types must be as many as the capture needs.
+void play_capture(const FromCapture&, fleet::World&, model::Arm&);
+
+}  // namespace headrouter::lab
--- a/src/model/run.h
+++ b/src/model/run.h
@@ -4,15 +4,27 @@
 // Chandy and Misra, 1979). One seed gives one digest.
 #pragma once
 #include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
 
 #include "fleet/outcome.h"
+#include "fleet/session.h"
 #include "model/policy.h"
 
 namespace headrouter::model {
 
+// Clients and deeds from elsewhere, in place of those that are drawn.
+struct Given {
+    std::vector<fleet::Session> sessions;
+    std::vector<fleet::Deed> deeds;
+};
+
 struct Arm {
     std::string name = "brain";
     PolicyKind policy = PolicyKind::brain;
+    std::shared_ptr<const Given> given{};
+    std::string record_to{};  // a folder for captures of what each Brain is told; empty: none
 };
 
 // `stop`, where given, ends the run at the next window; its outcome then says that it is partial.
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -123,4 +123,6 @@
 
 using namespace headrouter;
 
+#ifndef OWN_MAIN
 int main() {}  // the cases have run by then
+#endif
--- a/tests/lab/test_experiment.cpp
+++ b/tests/lab/test_experiment.cpp
@@ -141,6 +141,13 @@
     assert(lab_ends_with("run " + file + " --on sockets") ==
            2);  // the program itself plays there, not a baseline
     assert(lab_ends_with("report " + out + " -o " + (folder / "r.html").string()) == 0);
+    const std::string taken = folder / "taken";
+    std::filesystem::create_directories(taken);
+    std::ofstream(file) << "length = \"8s\"\njudged_from = \"2s\"\n[fleet]\nservers = 3\n";
+    assert(lab_ends_with("run " + file + " --record " + taken) == 0);
+    const std::string first = std::filesystem::directory_iterator(taken)->path();
+    assert(lab_ends_with("run " + file + " --capture " + first) == 0);
+    assert(lab_ends_with("run " + file + " --capture " + taken) == 2);  // two balancers' at once
     assert(lab_ends_with("measure nothing") != 0);
     std::filesystem::remove_all(folder);
 });
--- a/tests/standin/test_rig.cpp
+++ b/tests/standin/test_rig.cpp
@@ -1,4 +1,7 @@
 // The rig with real balancers in the test's own loop, which must keep every rule through each trouble.
+#include <sys/resource.h>
+#include <sys/wait.h>
+
 #include <filesystem>
 #include <iostream>
 #include <map>
@@ -122,3 +125,26 @@
     assert(loop.until([&] { return later; }));
     assert(rig.not_judged().find("ran late") != std::string::npos);
 });
+
+// In a process of its own, as the limit stays.
+static Case a_lab_that_runs_out_of_descriptors_does_not_blame_the_balancer([] {
+    const pid_t child = fork();
+    if (child == 0) {
+        const rlimit few{60, 60};
+        setrlimit(RLIMIT_NOFILE, &few);
+        Loop loop;
+        Outcome out;
+        const World w = real_world();
+        headrouter::standin::Rig rig(loop.loop, w, 3, out);
+        rig.begin({[](int) {}, [](int) {}});
+        std::vector<Fd> all;  // as many as there are: what a rig that is too large comes to
+        for (Fd fd = connect_to(*Address::from(rig.place(0))); fd;
+             fd = connect_to(*Address::from(rig.place(0))))
+            all.push_back(std::move(fd));
+        const bool told = loop.until([&] { return rig.not_judged() == "the lab ran out of descriptors"; });
+        _exit(told ? 0 : 1);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+});
