--- a/src/net/balancer.h
+++ b/src/net/balancer.h
@@ -29,7 +29,8 @@
     void refuse_reload(const std::string& why);
     void begin_leaving();  // moves or answers everyone, then breaks the loop
     const Counters& counters() const { return counters_; }
-    // Takes down what the module is told from now on; a second one in place of the first begins a new recording.
+    // Takes down what the module is told from now on; a second one in place of the first begins a new
+    // recording.
     void record(const capture::Keeping&);
     void stop_recording();
     bool records() const { return recorder_ != nullptr; }
