--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -37,9 +37,6 @@
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
 // A delay up to so many times the last one does not grow, and the part of its share that a server keeps then.
 constexpr double steady = 1.05, mild_least = 0.7;
-// Delays are told every second while there are any: none for so long, and messages are quick again. How fast
-// the ceiling goes back then, and what is left of that each time a delay follows all the same.
-constexpr double note_beat = 1.5, spring_first = 0.3, spring_worn = 0.3;
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 // Groups: the work that a server has with one, in usual connections; how far over share and by how many
 // connections it may go for one; how much larger than its part a home is.
@@ -683,11 +680,6 @@
         if (moves > 0)
             start_shedding(now, index_.at(id), load - ceiling, static_cast<int>(moves), seconds(0.8));
     }
-    // In a lasting overload the ceiling must not swing: what went back too fast goes more slowly next time.
-    if (bare_ceiling(now, s) >= unbounded)
-        s.spring = spring_first;
-    else if (in_seconds(now - s.ceiling_at) > note_beat)
-        s.spring *= spring_worn;
     ceiling = std::min(bare_ceiling(now, s), ceiling);
     s.ceiling = ceiling;
     s.ceiling_at = now;
@@ -702,10 +694,7 @@
     // A sound server must be able to take its part of what others lose: what it was cut to a moment ago, when
     // it was slow, would leave all of that to the few without a ceiling (r067ef1).
     const double least = s.mild ? full_share(s) * mild_least : 0;
-    // A storm of returns delays messages everywhere for a second. Ceilings from then, kept for half a minute,
-    // have sound servers turn away what they could serve.
-    const double quiet = std::max(0.0, t - note_beat) * s.spring;
-    return std::max(least, s.ceiling + (t * ceiling_growth + quiet) * full_share(s));
+    return std::max(least, s.ceiling + t * ceiling_growth * full_share(s));
 }
 
 // Many balancers hold a connection or none each on a server: rounded by chance, their whole connections add
--- a/src/brain.h
+++ b/src/brain.h
@@ -119,7 +119,6 @@
     bool mild = false;       // that was little, and no more than before
     double ceiling = -1;     // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
-    double spring = 0;    // how fast it goes back while no delay is told, in full shares a second
     double rounding = 0;  // of the ceiling, by chance
     double draw = 1;      // exponential, mean 1, from a hash of the balancer's own number and the server
     int sent_in_term = 0, lost_in_term = 0;
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -82,8 +82,7 @@
     visit(a, s.spared), visit(a, s.distrust), visit(a, s.distrust_at), visit(a, s.failures_in_row);
     visit(a, s.skip_until), visit(a, s.out_until), visit(a, s.slow_at), visit(a, s.last_kept);
     visit(a, s.cold_sent), visit(a, s.cold_chance), visit(a, s.delay), visit(a, s.mild), visit(a, s.ceiling);
-    visit(a, s.ceiling_at), visit(a, s.spring), visit(a, s.rounding), visit(a, s.draw),
-        visit(a, s.sent_in_term);
+    visit(a, s.ceiling_at), visit(a, s.rounding), visit(a, s.draw), visit(a, s.sent_in_term);
     visit(a, s.lost_in_term);
     StateAccess::visit_state(a, s.excess);
     visit(a, s.to_shed), visit(a, s.resets), visit(a, s.shed_gap), visit(a, s.shedding),
