--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -65,6 +65,10 @@
     ev_timer_stop(loop_, &looks_);
 }
 
+static ListPace pace_of(const Boot& boot) {
+    return {boot.told.deployment.ask_list, boot.told.ask_within, boot.seed};
+}
+
 static Address discovery_of(const Boot& boot) {
     const auto address = Address::from(boot.discovery);
     if (address) return *address;
@@ -72,13 +76,12 @@
 }
 
 std::unique_ptr<Discovery> Balancer::watch(const Address& address) {
-    return std::make_unique<Discovery>(loop_, address, boot_.discovery, exchange_.told(), clock_, counters_,
-                                       log_, [this](const Discovery& from, const ListNews& news) {
-                                           if (&from == next_discovery_.get())
-                                               discovery_ = std::move(next_discovery_);
-                                           exchange_.list_told(
-                                               news.complete ? ListKind::complete : ListKind::partial, news);
-                                       });
+    return std::make_unique<Discovery>(
+        loop_, address, boot_.discovery, exchange_.told(), clock_, pace_of(boot_), counters_, log_,
+        [this](const Discovery& from, const ListNews& news) {
+            if (&from == next_discovery_.get()) discovery_ = std::move(next_discovery_);
+            exchange_.list_told(news.complete ? ListKind::complete : ListKind::partial, news);
+        });
 }
 
 void Balancer::start() {
@@ -88,7 +91,11 @@
         throw Malformed("the address to listen on, '" + boot_.listen + "', is not HOST:PORT in numbers");
     exchange_.list_told(ListKind::persisted, boot_.known);
     discovery_ = watch(discovery);
-    discovery_->start();
+    // Where a call costs nothing the whole list is surer: it holds whatever a new discovery counts from.
+    if (boot_.told.deployment.ask_list && !boot_.known.entries.empty())
+        discovery_->start_from(boot_.known.version);
+    else
+        discovery_->start();
     std::string fault;
     if (!clients_.listen(*listen, fault)) throw Malformed("cannot listen on " + boot_.listen + ": " + fault);
     started_ = true;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -8,15 +8,11 @@
 namespace headrouter {
 
 namespace {
-// A watch waits only briefly: a connection that went silent is then found out well before what it should have
-// brought is deemed told. The next watch follows at once, so nothing is missed in between.
-constexpr int watch_ms = 2000;
-constexpr ev_tstamp answer_slack = 0.7, first_pause = 0.05, longest_pause = 0.5;
 constexpr size_t longest_body = 16 << 20;
 }  // namespace
 
 Discovery::Discovery(struct ev_loop* loop, Address address, std::string host, const Told& names,
-                     const Clock& clock, Counters& counters, Log& log,
+                     const Clock& clock, ListPace pace, Counters& counters, Log& log,
                      std::function<void(const Discovery&, const ListNews&)> hear)
     : loop_(loop),
       address_(address),
@@ -26,7 +22,7 @@
       counters_(counters),
       log_(log),
       told_(std::move(hear)),
-      pause_(first_pause) {
+      pace_(pace) {
     ev_io_init(
         &io_, [](struct ev_loop*, ev_io* w, int events) { static_cast<Discovery*>(w->data)->on_io(events); },
         -1, 0);
@@ -45,10 +41,18 @@
 
 void Discovery::start() { ask(); }
 
-void Discovery::wait_for(ev_tstamp seconds) {
+// What is missing since the list that this process was started with, and the watch with it, in one call: a
+// shared service turns away the second one of a hundred balancers that start together.
+void Discovery::start_from(int64_t version) {
+    version_ = version;
+    has_list_ = true;
+    ask();
+}
+
+void Discovery::wait_for(Span span) {
     ev_timer_stop(loop_, &timer_);
     ev_now_update(loop_);
-    ev_timer_set(&timer_, seconds, 0);
+    ev_timer_set(&timer_, in_seconds(span), 0);
     ev_timer_start(loop_, &timer_);
 }
 
@@ -62,7 +66,9 @@
     answered_ = false;
     body_.clear();
     out_ = "GET /v1/servers";
-    if (has_list_) out_ += "?since=" + std::to_string(version_) + "&timeout_ms=" + std::to_string(watch_ms);
+    if (has_list_)
+        out_ += "?since=" + std::to_string(version_) +
+                "&timeout_ms=" + std::to_string(pace_.watch().ns / 1'000'000);
     out_ += " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n";
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
@@ -71,18 +77,16 @@
     ev_io_stop(loop_, &io_);
     ev_io_set(&io_, fd_.get(), EV_READ | EV_WRITE);
     ev_io_start(loop_, &io_);
-    wait_for((has_list_ ? watch_ms / 1000.0 : 0) + answer_slack);
+    wait_for((has_list_ ? pace_.watch() : Span{}) + pace_.patience());
 }
 
-// Asked again soon and from a new connection: the agent stands on this machine and costs nothing.
-void Discovery::failed(const char* why) {
+void Discovery::failed(const char* why, ListPace::Fault fault) {
     asking_ = false;
     counters_.add(Count::list_calls_failed);
     if (!was_down_) log_.warning() << "discovery: " << why;
     was_down_ = true;
     drop();
-    wait_for(pause_);
-    pause_ = std::min(pause_ * 2, longest_pause);
+    wait_for(pace_.pause(fault));
 }
 
 void Discovery::on_io(int events) {
@@ -130,7 +134,7 @@
 void Discovery::take_answer() {
     asking_ = false;
     const bool goes_on = http_should_keep_alive(&parser_);
-    if (parser_.status_code != 200) return failed("the answer is not 200");
+    if (parser_.status_code != 200) return failed("the answer is not 200", ListPace::Fault::turned_away);
     ListNews news;
     try {
         news = read_news(body_, names_, clock_);
@@ -147,7 +151,7 @@
     if (!news.complete && !has_list_) return failed("changes in place of the whole list");
     if (was_down_) log_.info() << "discovery: answers again";
     was_down_ = false;
-    pause_ = first_pause;
+    pace_.answered();
     version_ = news.version;
     has_list_ = true;
     if (news.complete || !news.entries.empty()) {
@@ -156,7 +160,7 @@
     }
     if (!goes_on) drop();
     // An agent that answers watches at once with nothing must not keep the balancer busy.
-    if (!news.complete && news.entries.empty()) return wait_for(0.02);
+    if (!news.complete && news.entries.empty()) return wait_for(millis(20));
     ask();
 }
 
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "net/counters.h"
+#include "net/list_pace.h"
 #include "net/log.h"
 #include "net/roster.h"
 
@@ -14,21 +15,22 @@
 
 class Discovery {
    public:
-    Discovery(struct ev_loop*, Address, std::string host, const Told&, const Clock&, Counters&, Log&,
-              std::function<void(const Discovery&, const ListNews&)> told);
+    Discovery(struct ev_loop*, Address, std::string host, const Told&, const Clock&, ListPace, Counters&,
+              Log&, std::function<void(const Discovery&, const ListNews&)> told);
     ~Discovery();
     Discovery(const Discovery&) = delete;
     Discovery& operator=(const Discovery&) = delete;
     void start();
+    void start_from(int64_t version);
 
    private:
     void ask();
     void on_io(int events);
     void read_some();
     void take_answer();
-    void failed(const char* why);
+    void failed(const char* why, ListPace::Fault = ListPace::Fault::unreachable);
     void drop();
-    void wait_for(ev_tstamp seconds);
+    void wait_for(Span);
 
     struct ev_loop* loop_;
     Address address_;
@@ -45,7 +47,7 @@
     std::string out_, body_;
     bool asking_ = false, answered_ = false, has_list_ = false, was_down_ = false;
     int64_t version_ = 0;
-    ev_tstamp pause_;
+    ListPace pace_;
 };
 
 }  // namespace headrouter
--- /dev/null
+++ b/src/net/list_pace.h
@@ -0,0 +1,33 @@
+// How long to wait with the list of servers: for an answer, on a watch, and before asking again. No I/O.
+#pragma once
+#include "base/pcg32.h"
+#include "base/time.h"
+
+namespace headrouter {
+
+class ListPace {
+   public:
+    enum class Fault {
+        unreachable,  // broken off, silent, garbled
+        turned_away   // answered in good order that there is nothing to be had now
+    };
+    // `shared`: one service answers every balancer's calls and each costs it work; otherwise an agent of this
+    // machine's own does. `expected`: how often a balancer is expected to ask a shared one, zero if unknown.
+    ListPace(bool shared, Span expected, uint64_t seed);
+
+    bool shared() const { return shared_; }
+    Span watch() const { return watch_; }
+    Span patience() const { return patience_; }  // beyond a watch's own time
+    Span pause(Fault);                           // before the next call, longer each time
+    void answered();
+
+   private:
+    bool shared_;
+    Span watch_, patience_;
+    struct Steps {
+        Span first, longest, next;
+    } unreachable_, turned_away_;
+    Pcg32 chance_;
+};
+
+}  // namespace headrouter
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -134,6 +134,7 @@
         }
     if (find(doc, "domain")) told.tells_delay = flag_or(object(doc, "domain"), "tellsDelay", false);
     told.connect_time = span_or_zero(object(doc, "ceilings"), "dialTimeoutNs");
+    told.ask_within = span_or_zero(object(doc, "invariants"), "askEveryNs");
     return told;
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -52,6 +52,7 @@
     std::vector<std::string> types, tenants, zones;
     bool tells_delay = false;  // servers tell how long messages take, beside loads
     Span connect_time;         // after which a connection that does not come up has failed
+    Span ask_within;           // who has not asked for the list for so long is taken to know it; 0: not said
 };
 
 // One JSON object of settings, as the start of an instance hands it over.
--- /dev/null
+++ b/tests/net/test_list_pace.cpp
@@ -0,0 +1,65 @@
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "helpers.h"
+#include "net/list_pace.h"
+
+using Fault = ListPace::Fault;
+
+// One service for all: calls wait in turn, those that have waited for two seconds are told so but served in
+// vain all the same, and where four seconds of work wait a call is turned away at once.
+static double time_until_all_know(bool shared, int balancers, double calls_a_second) {
+    std::vector<ListPace> paces;
+    std::multimap<double, int> asks;
+    for (int k = 0; k < balancers; ++k) {
+        paces.emplace_back(shared, seconds(10), 77 + k);
+        asks.emplace(0, k);
+    }
+    double busy_until = 0, last = 0;
+    int known = 0;
+    while (known < balancers && !asks.empty() && asks.begin()->first < 300) {
+        const auto [now, k] = *asks.begin();
+        asks.erase(asks.begin());
+        const double wait = std::max(0.0, busy_until - now);
+        const double patience = std::min(2.0, in_seconds(paces[k].patience()));
+        if (wait < 4) busy_until = now + wait + 1 / calls_a_second;
+        if (wait + 1 / calls_a_second <= patience) {
+            ++known;
+            last = now + wait;
+        } else {
+            const double told = wait < 4 ? now + patience : now;
+            const Fault why = wait < 4 && patience < 2 ? Fault::unreachable : Fault::turned_away;
+            asks.emplace(told + in_seconds(paces[k].pause(why)), k);
+        }
+    }
+    return known == balancers ? last : 300;
+}
+
+static const Case a_hundred_that_start_together_all_get_a_list{[] {
+    assert(time_until_all_know(true, 100, 5.5) < 45);  // 18 s if nothing were asked in vain
+    assert(time_until_all_know(true, 300, 30) < 45);
+    assert(time_until_all_know(false, 100, 5.5) > 100);  // as an agent of one's own is asked: hardly anyone
+}};
+
+static const Case pauses_grow_to_a_bound_differ_by_chance_and_start_anew{[] {
+    ListPace one(true, seconds(10), 1), other(true, seconds(10), 2);
+    Span longest;
+    for (int k = 0; k < 20; ++k) {
+        const Span a = one.pause(Fault::turned_away), b = other.pause(Fault::turned_away);
+        assert(a != b && a >= seconds(3.5) && a <= seconds(40) && (k > 0 || a <= seconds(10)));
+        longest = std::max(longest, a);
+    }
+    assert(longest > seconds(20));
+    one.answered();
+    assert(one.pause(Fault::turned_away) <= seconds(10));
+    assert(one.pause(Fault::unreachable) <= seconds(0.25));  // nobody answered, so nobody is kept busy
+}};
+
+static const Case an_agent_of_the_machines_own_is_asked_as_before{[] {
+    ListPace own(false, seconds(10), 1);
+    assert(own.watch() == seconds(2) && own.patience() == seconds(0.7));
+    assert(own.pause(Fault::turned_away) == millis(50) && own.pause(Fault::turned_away) == millis(100));
+    for (int k = 0; k < 9; ++k) own.pause(Fault::unreachable);
+    assert(own.pause(Fault::unreachable) == millis(500));
+}};
--- a/tests/net/test_sockets.cpp
+++ b/tests/net/test_sockets.cpp
@@ -95,7 +95,7 @@
     Peer discovery;
     uint64_t last_id = 1'000'000'000'000'000;
 
-    explicit World(int descriptors = 1024, const std::string& place = "") {
+    explicit World(int descriptors = 1024, const std::string& place = "", const std::string& list = "push") {
         const std::string listen = free_place();
         boot = read_boot(
             R"({"name":"n","listen":")" + listen + R"(","discovery":")" + agent.at +
@@ -104,8 +104,9 @@
                 "hostPort":")" +
                 (place.empty() ? server.at : place) +
                 R"(","zone":"a","lifecycle":"SERVING","weight":1,"startedAtMs":0}]},
-                "settings":{"discovery":"push","ceilings":{"maxLegs":2,"dialTimeoutNs":150000000},
-                "invariants":{"coldNs":0},"failureDomains":["a"],"realms":[],"trafficTypes":[{"name":"chat",
+                "settings":{"discovery":")" +
+                list + R"(","ceilings":{"maxLegs":2,"dialTimeoutNs":150000000},
+                "invariants":{"coldNs":0,"askEveryNs":4000000000},"failureDomains":["a"],"realms":[],"trafficTypes":[{"name":"chat",
                 "effect":"pure","setupTargetNs":800000000,"guardTimeNs":1000000000}]}})",
             clock);
         balancer = std::make_unique<Balancer>(loop, boot, clock, log);
@@ -389,6 +390,22 @@
     assert(w.says(c, "BUSY") && w.count(Count::legs_sent) == 0);
 }};
 
+// One service for all balancers: one call brings what is missing and the watch, and who is turned away leaves
+// the others their turn (herd).
+static const Case a_shared_discovery_is_asked_once_and_left_alone_when_it_turns_away{[] {
+    World w(1024, "", "ask");
+    assert(w.says(w.discovery, "GET /v1/servers?since=1&timeout_ms=8000 HTTP/1.1\r\n"));
+    w.turn(0.9);  // a watch that is pending is no silence
+    w.discovery.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    assert(w.ends(w.discovery) && w.count(Count::list_calls_failed) == 1);
+    const Instant turned_away = Clock::now();
+    Peer again;
+    assert(w.until([&] { return Clock::now() - turned_away > seconds(0.7); }) && !w.agent.accept().fd);
+    for (int k = 0; k < 3 && !again.fd; ++k)
+        w.until([&] { return again = w.agent.accept(), bool(again.fd); });
+    assert(w.says(again, "GET /v1/servers?since=1&timeout_ms=8000 HTTP/1.1\r\n"));
+}};
+
 static std::string whole_list(int version, const std::string& id, const std::string& at) {
     return R"({"generation":)" + std::to_string(version) + R"(,"reset":true,"instances":[{"instanceId":")" +
            id + R"(","hostPort":")" + at + R"(","zone":"a","lifecycle":"SERVING"}]})";
