--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -46,7 +46,7 @@
 constexpr double pairs_believed = 40;
 // Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
 // counts in the shares for that after a term.
-constexpr double cold_part = 1.5, weight_kept = 0.9;
+constexpr double cold_part = 2, weight_kept = 0.9;
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
 constexpr double far_cost = 8, least_far = 0.2;
 // Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
