Odd list settings are bounded, a version that goes back brings the whole list

Seen on reading the whole change again: `askEveryNs` sets the watch, so one of a nanosecond made watches of 0 ms, each asked 20 ms after the last, and one over 30 s watches longer than the minute that the protocol allows. A discovery that counts from anew answers changes below the version held, and since starts ask from the known version nobody would have asked for the whole list.

At fault: src/net/list_pace.cpp, ListPace(); src/net/discovery.cpp, take_answer().

Change: the setting counts as 1 to 30 s; a version that goes back is a failed call and the whole list is asked for.

Tests: test_list_pace (odd settings), test_sockets (version goes back).

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -149,6 +149,11 @@
         log_.warning() << "discovery: " << news.unreadable << " entries cannot be read";
     }
     if (!news.complete && !has_list_) return failed("changes in place of the whole list");
+    if (!news.complete && news.version < version_) {
+        // It counts from somewhere else: what it leaves out may still be what this balancer lacks.
+        has_list_ = false;
+        return failed("its version went back");
+    }
     if (was_down_) log_.info() << "discovery: answers again";
     was_down_ = false;
     pace_.answered();
--- a/src/net/list_pace.cpp
+++ b/src/net/list_pace.cpp
@@ -15,6 +15,9 @@
 // callers that have gone, and nobody is answered as long as they all ask again at once. So a call once made
 // is waited for, and who is turned away leaves the others their turn. A watch that goes on costs no new call.
 constexpr Span usually_expected = seconds(10);
+// A watch is at most a minute long by the protocol, and settings that name next to no time must not keep the
+// balancer busy with watches of none.
+constexpr Span shortest_expected = seconds(1), longest_expected = seconds(30);
 constexpr double shared_watch = 2, shared_patience = 0.25;
 constexpr double shared_pause = 0.025, shared_longest = 0.25, away_pause = 1;
 // After a failed call the settings give a balancer four times as long.
@@ -27,7 +30,8 @@
     : shared_(shared), watch_(own_watch), patience_(own_patience), chance_(seed) {
     unreachable_ = turned_away_ = {own_pause, own_longest, own_pause};
     if (!shared) return;
-    const Span turn = expected.ns > 0 ? expected : usually_expected;
+    const Span turn =
+        expected.ns > 0 ? std::clamp(expected, shortest_expected, longest_expected) : usually_expected;
     watch_ = turn * shared_watch;
     patience_ = turn * shared_patience;
     unreachable_ = {turn * shared_pause, turn * shared_longest, turn * shared_pause};
--- a/src/net/list_pace.h
+++ b/src/net/list_pace.h
@@ -15,7 +15,6 @@
     // machine's own does. `expected`: how often a balancer is expected to ask a shared one, zero if unknown.
     ListPace(bool shared, Span expected, uint64_t seed);
 
-    bool shared() const { return shared_; }
     Span watch() const { return watch_; }
     Span patience() const { return patience_; }  // beyond a watch's own time
     Span pause(Fault);                           // before the next call, longer each time
--- a/tests/net/test_list_pace.cpp
+++ b/tests/net/test_list_pace.cpp
@@ -56,6 +56,13 @@
     assert(one.pause(Fault::unreachable) <= seconds(0.25));  // nobody answered, so nobody is kept busy
 }};
 
+static const Case odd_settings_ask_neither_all_the_time_nor_for_longer_than_a_watch_may{[] {
+    for (const Span odd : {Span{1}, seconds(0.5), seconds(4000), Span{}}) {
+        ListPace pace(true, odd, 1);
+        assert(pace.watch() >= seconds(2) && pace.watch() <= seconds(60) && pace.patience() >= millis(250));
+    }
+}};
+
 static const Case an_agent_of_the_machines_own_is_asked_as_before{[] {
     ListPace own(false, seconds(10), 1);
     assert(own.watch() == seconds(2) && own.patience() == seconds(0.7));
--- a/tests/net/test_sockets.cpp
+++ b/tests/net/test_sockets.cpp
@@ -395,9 +395,14 @@
 static const Case a_shared_discovery_is_asked_once_and_left_alone_when_it_turns_away{[] {
     World w(1024, "", "ask");
     assert(w.says(w.discovery, "GET /v1/servers?since=1&timeout_ms=8000 HTTP/1.1\r\n"));
-    w.turn(0.9);  // a watch that is pending is no silence
+    w.turn(0.9);                                                  // a watch that is pending is no silence
+    w.lists(R"({"generation":0,"reset":false,"instances":[]})");  // it counts from anew
+    w.discovery = w.next(w.agent);
+    assert(w.says(w.discovery, "GET /v1/servers HTTP/1.1\r\n"));
+    w.lists(R"({"generation":1,"reset":true,"instances":[]})");
+    assert(w.says(w.discovery, "GET /v1/servers?since=1&timeout_ms=8000 HTTP/1.1\r\n"));
     w.discovery.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-    assert(w.ends(w.discovery) && w.count(Count::list_calls_failed) == 1);
+    assert(w.ends(w.discovery) && w.count(Count::list_calls_failed) == 2);
     const Instant turned_away = Clock::now();
     Peer again;
     assert(w.until([&] { return Clock::now() - turned_away > seconds(0.7); }) && !w.agent.accept().fd);
