An address for operators: STATUS, METRICS with true figures, on a listener of its own

Design: OpsSide (I/O, src/net) has its own listener, its own bounded list of 8 callers and its own farewell, at libev's highest priority; src/ops (no I/O) has the calls by name and the printing of the figures. The figures are one transition in the exchange: `setup_ended`, called where a call comes up or is answered; attempts are counted where the last byte of a first line goes out; `ejected` is a const question to the Brain (`avoided`: listed servers that get nothing new now: draining, skipped after failures, out for a term, failing and being tried by one leg). Also: after a send that failed in conn_came_up (server_side.cpp) the leg was read although it was over; output_went now tells alone that the line is out. The clients' listener takes SO_REUSEPORT, so that a second process can start; the lab's blocks and the operators' address do not, as they rely on a taken address being refused (test_server failed).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -362,6 +362,12 @@
     return s.failures_in_row == 0 || s.setting_up == 0;  // a failing server is tried by one leg at a time
 }
 
+int Brain::avoided(Instant now) const {
+    return static_cast<int>(std::count_if(servers_.begin(), servers_.end(), [&](const Server& s) {
+        return s.listed.condition != Condition::left && !usable(now, s);
+    }));
+}
+
 // Rule 4: what falls is a server that is sent several times the load that it can carry while cold, so every
 // balancer keeps what it has sent there since the start, ended or not, under its own share of the server as
 // it warms. Where that is far below one connection, the first one is let through by chance: hundreds of
--- a/src/brain.h
+++ b/src/brain.h
@@ -148,6 +148,7 @@
 
     const Deployment& told() const { return told_; }
     bool knows(const ServerId& id) const { return index_.count(id) > 0; }
+    int avoided(Instant) const;  // listed servers that would get no new connection now
 
    private:
     friend struct Peek;         // the tests build states directly
--- a/src/capture/ear.h
+++ b/src/capture/ear.h
@@ -32,6 +32,7 @@
     void probe_ended(Instant, const ServerId&, Ending, Span took, const LoadReport&);
     const Deployment& told() const { return brain_.told(); }
     bool knows(const ServerId& id) const { return brain_.knows(id); }
+    int avoided(Instant now) const { return brain_.avoided(now); }
 
    private:
     Frame* begin(Told, Instant);  // nullptr: nobody records
--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -46,7 +46,10 @@
       exchange_(boot.told, boot.seed, clients_, servers_,
                 {&Clock::now, [this](Instant at, uint64_t token) { set_timer(at, token); },
                  [this](Count& short_of) { return has_room(short_of); }},
-                counters_, log) {
+                counters_, log),
+      ops_(loop, calls_, counters_) {
+    calls_.add("STATUS", [this] { return status(); });
+    calls_.add("METRICS", [this] { return metrics(); });
     clients_.report_to(exchange_);
     servers_.report_to(exchange_);
     ev_timer_init(
@@ -98,6 +101,11 @@
         discovery_->start();
     std::string fault;
     if (!clients_.listen(*listen, fault)) throw Malformed("cannot listen on " + boot_.listen + ": " + fault);
+    if (!boot_.ops.empty()) {
+        const auto ops = Address::from(boot_.ops);
+        if (!ops) throw Malformed("the operators' address, '" + boot_.ops + "', is not HOST:PORT in numbers");
+        if (!ops_.listen(*ops, fault)) throw Malformed("cannot listen on " + boot_.ops + ": " + fault);
+    }
     started_ = true;
     arm();
     ev_timer_start(loop_, &looks_);
@@ -109,9 +117,9 @@
 // not leave the balancer without news. Versions are the new address's own, so it is asked for the whole list.
 void Balancer::reload(Boot now) {
     const Address discovery = discovery_of(now);
-    if (now.listen != boot_.listen || now.name != boot_.name)
-        log_.warning() << "name and listening address stay until the next start";
-    now.listen = boot_.listen, now.name = boot_.name;
+    if (now.listen != boot_.listen || now.name != boot_.name || now.ops != boot_.ops)
+        log_.warning() << "name, listening and operators' address stay until the next start";
+    now.listen = boot_.listen, now.name = boot_.name, now.ops = boot_.ops;
     boot_ = std::move(now);
     descriptors_ = descriptors_of(boot_);
     clients_.allow(descriptors_);
@@ -138,6 +146,12 @@
     return true;
 }
 
+std::string Balancer::status() const {
+    return started_ && !leaving_ ? "done\r\n" : "error this process takes no clients\r\n";
+}
+
+std::string Balancer::metrics() const { return ops::printed(exchange_.figures()) + "\r\nend\r\n"; }
+
 void Balancer::set_timer(Instant at, uint64_t token) {
     timers_.emplace(at, token);
     if (started_ && timers_.begin()->first == at) arm();
@@ -168,6 +182,7 @@
     servers_.look_after(now);
     clients_.look_for_silent(now);
     exchange_.look_after();
+    ops_.look_for_silent(now);
     look_after_recorder();
     if (!leaving_) return;
     const bool done = exchange_.all_gone() && client_farewell_.size() + server_farewell_.size() == 0;
--- a/src/net/balancer.h
+++ b/src/net/balancer.h
@@ -12,6 +12,7 @@
 #include "net/client_side.h"
 #include "net/discovery.h"
 #include "net/exchange.h"
+#include "net/ops_side.h"
 #include "net/server_side.h"
 
 namespace headrouter {
@@ -42,6 +43,8 @@
     void set_timer(Instant, uint64_t token);
     void look_after();
     bool has_room(Count& short_of);
+    std::string status() const;
+    std::string metrics() const;
     std::unique_ptr<Discovery> watch(const Address&);
 
     struct ev_loop* loop_;
@@ -57,6 +60,8 @@
     ClientSide clients_;
     ServerSide servers_;
     Exchange exchange_;
+    ops::Calls calls_;
+    OpsSide ops_;
     std::unique_ptr<Discovery> discovery_, next_discovery_;  // the next one has not answered yet
     std::unique_ptr<capture::Recorder> recorder_;
     uint64_t capture_faults_ = 0, capture_dropped_ = 0, capture_frames_ = 0;  // of it, as counted last
--- a/src/net/boot.cpp
+++ b/src/net/boot.cpp
@@ -27,6 +27,7 @@
     boot.name = text_or(doc, "name", "");
     boot.listen = text(doc, "listen");
     boot.discovery = text(doc, "discovery");
+    boot.ops = text_or(doc, "ops", "");
     boot.seed = seed_from(text(doc, "seed"));
     if (find(doc, "limits")) {
         const Json& limits = object(doc, "limits");
@@ -52,6 +53,7 @@
     Boot boot = read_boot_file(path, clock);
     for (const auto& [variable, field] : {std::pair{"PROXY_NAME", &boot.name},
                                           {"PROXY_LISTEN", &boot.listen},
+                                          {"PROXY_OPS", &boot.ops},
                                           {"PROXY_DISCOVERY", &boot.discovery}}) {
         if (when == Read::again && field == &boot.discovery) continue;
         if (const char* value = std::getenv(variable); value && *value) *field = value;
--- a/src/net/boot.h
+++ b/src/net/boot.h
@@ -10,6 +10,7 @@
 
 struct Boot {
     std::string name, listen, discovery;
+    std::string ops;  // where operators call; empty: nowhere
     uint64_t seed = 0;
     int descriptors = 1024;
     size_t memory_mb = 0;  // 0: not limited
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -46,7 +46,7 @@
 ClientSide::~ClientSide() { stop_listening(); }
 
 bool ClientSide::listen(const Address& address, std::string& fault) {
-    listener_ = listen_on(address, fault);
+    listener_ = listen_on(address, fault, true);
     if (!listener_) return false;
     ev_io_set(&accept_, listener_.get(), EV_READ);
     ev_io_start(loop_, &accept_);
--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -27,7 +27,7 @@
     "  -f, --log-format F  text or json, a record a line (default: text)\n"
     "  -o, --operator FILE the operator's own file, in TOML (deploy/operator.example.toml)\n"
     "\n"
-    "PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY, where set, win over the file.\n"
+    "PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_OPS, where set, win over the file.\n"
     "Signals to serve: TERM and INT leave in an orderly way, USR1 prints the counters, USR2 turns\n"
     "recording on and off (the operator's file says where to), HUP reads the\n"
     "configuration and the operator's file again (its discovery then wins over PROXY_DISCOVERY).\n";
@@ -128,6 +128,7 @@
               << boot.told.zones.size() << " zones, " << boot.known.entries.size() << " servers known ("
               << boot.known.unreadable << " unreadable)\n"
               << boot.descriptors << " descriptors, " << boot.memory_mb << " MB\n";
+    if (!boot.ops.empty()) std::cout << "operators call at " << boot.ops << "\n";
     if (file.capture)
         std::cout << "captures in " << file.capture->keeping.folder
                   << (file.capture->on ? "" : ", off until SIGUSR2") << "\n";
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -44,6 +44,7 @@
       clock_(std::move(clock)),
       counters_(counters),
       log_(log),
+      tally_(told_.types.size()),
       born_(clock_.now()),
       brain_(told_.deployment, seed, *this, clock_.now()) {}
 
@@ -79,11 +80,13 @@
     Count short_of{};
     if (opening->at.empty() && !clock_.has_room(short_of)) {
         counters_.add(short_of);
+        tally_.ended(ops::Setup::declined, opening->call.type);
         return clients_.answer(id, busy(told_.deployment.max_advice * shortage_part));
     }
     const Instant now = clock_.now();
     if (leaving_from_ && now >= *leaving_from_) {  // a place here would last a moment and cost a move
         counters_.add(Count::calls_rejected);
+        tally_.ended(ops::Setup::declined, opening->call.type);
         return clients_.answer(id, busy({}));
     }
     Flow& flow = flows_[id];
@@ -167,12 +170,18 @@
     return flow && (flow->inherited || roster_.wants_new(flow->server));
 }
 
+void Exchange::leg_written(CallId id) {
+    if (!find(id)) return counters_.add(Count::late_events);
+    tally_.forwarded();
+}
+
 void Exchange::leg_up(CallId id, std::string_view line) {
     Flow* flow = find(id);
     if (!flow) return counters_.add(Count::late_events);
     flow->up = true;
     log_.debug() << "call " << id << " up at " << flow->server;
     counters_.add(flow->inherited ? Count::calls_inherited : Count::calls_up);
+    setup_ended(*flow, ops::Setup::succeeded);
     clients_.pass(id, line);
     const Instant now = clock_.now();
     if (flow->inherited)
@@ -229,6 +238,7 @@
                  << took.ns / 1'000'000 << " ms";
     if (final) {
         const bool stood = flow->up, mid_line = flow->mid_line;
+        if (!stood) setup_ended(*flow, ops::Setup::aborted);  // to its client, what is not UP is a failure
         forget(id);
         if (!stood)
             clients_.answer(id, end.answer);
@@ -251,9 +261,22 @@
 
 void Exchange::told_again(const Told& now) {
     told_ = realigned(told_, now);
+    tally_.has_types(told_.types.size());
     brain_.told_again(clock_.now(), told_.deployment);
 }
 
+// ---- for the operators ----
+
+// What stood before this process is none of those that it brought up or failed.
+void Exchange::setup_ended(const Flow& flow, ops::Setup how) {
+    if (!flow.inherited) tally_.ended(how, flow.opening.call.type);
+}
+
+ops::Figures Exchange::figures() const {
+    return {told_.types, tally_, flows_.size(), roster_.listed(),
+            static_cast<size_t>(brain_.avoided(clock_.now()))};
+}
+
 void Exchange::timer_rang(uint64_t token) {
     brain_.timer_rang(clock_.now(), token);
     act();
@@ -376,7 +399,10 @@
 }
 
 void Exchange::do_answer(CallId id, Count as, std::string_view line) {
-    if (!forget(id)) return counters_.add(Count::late_events);
+    const Flow* flow = find(id);
+    if (!flow) return counters_.add(Count::late_events);
+    setup_ended(*flow, as == Count::calls_rejected ? ops::Setup::declined : ops::Setup::aborted);
+    forget(id);
     log_.debug() << "call " << id << " answered " << without_end(line);
     counters_.add(as);
     clients_.answer(id, line);
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -16,6 +16,7 @@
 #include "net/opening.h"
 #include "net/ports.h"
 #include "net/roster.h"
+#include "ops/figures.h"
 
 namespace headrouter {
 
@@ -37,6 +38,7 @@
     void client_hasty(CallId) override;
     void client_drained(CallId) override;
     bool may_send(CallId) override;
+    void leg_written(CallId) override;
     void leg_up(CallId, std::string_view line) override;
     void server_bytes(CallId, std::string_view bytes, bool whole) override;
     void load_told(CallId, double) override;
@@ -53,6 +55,7 @@
     void begin_leaving(Span over);
     bool all_gone() const { return flows_.empty(); }
     const Told& told() const { return told_; }
+    ops::Figures figures() const;
     void record_to(capture::Tape* tape) { brain_.record_to(tape); }
 
    private:
@@ -82,6 +85,7 @@
     void act();
     void do_send(const Due&);
     void do_answer(CallId, Count, std::string_view line);
+    void setup_ended(const Flow&, ops::Setup);
     void do_move(CallId);
     void call_standing_server(CallId, Flow&);
     void leave(Instant now);
@@ -95,6 +99,7 @@
     Counters& counters_;
     Log& log_;
     Roster roster_;
+    ops::Tally tally_;
     std::unordered_map<CallId, Flow> flows_;
     std::unordered_set<std::string> open_ids_;
     Instant born_;
--- a/src/net/line_conn.cpp
+++ b/src/net/line_conn.cpp
@@ -11,12 +11,13 @@
 // this process and the kernel may know neither.
 static char dropped[1 << 20];
 
-LineConn::LineConn(struct ev_loop* loop, Fd fd, Owner& owner, uint64_t id)
+LineConn::LineConn(struct ev_loop* loop, Fd fd, Owner& owner, uint64_t id, int priority)
     : loop_(loop), fd_(std::move(fd)), owner_(&owner), id_(id) {
     ev_io_init(
         &io_, [](struct ev_loop*, ev_io* w, int events) { static_cast<LineConn*>(w->data)->on_io(events); },
         fd_.get(), 0);
     io_.data = this;
+    ev_set_priority(&io_, priority);
 }
 
 LineConn::~LineConn() {
--- a/src/net/line_conn.h
+++ b/src/net/line_conn.h
@@ -31,7 +31,7 @@
         virtual void output_went(LineConn&) {}
     };
 
-    LineConn(struct ev_loop*, Fd, Owner&, uint64_t id);
+    LineConn(struct ev_loop*, Fd, Owner&, uint64_t id, int priority = 0);
     ~LineConn();
     LineConn(const LineConn&) = delete;
     LineConn& operator=(const LineConn&) = delete;
--- a/src/net/ports.h
+++ b/src/net/ports.h
@@ -52,7 +52,8 @@
 class ServerEvents {
    public:
     virtual ~ServerEvents() = default;
-    virtual bool may_send(CallId) = 0;  // asked right before the first byte goes out
+    virtual bool may_send(CallId) = 0;     // asked right before the first byte goes out
+    virtual void leg_written(CallId) = 0;  // the last byte of the first line is out
     virtual void leg_up(CallId, std::string_view line) = 0;
     virtual void server_bytes(CallId, std::string_view bytes, bool whole) = 0;
     virtual void load_told(CallId, double micros_a_second) = 0;
--- a/src/net/roster.cpp
+++ b/src/net/roster.cpp
@@ -63,6 +63,12 @@
     return it == places_.end() ? std::nullopt : it->second.address;
 }
 
+size_t Roster::listed() const {
+    return static_cast<size_t>(std::count_if(places_.begin(), places_.end(), [](const auto& place) {
+        return place.second.condition != Condition::left;
+    }));
+}
+
 bool Roster::wants_new(const ServerId& id) const {
     const auto it = places_.find(id);
     return it != places_.end() && it->second.condition == Condition::active;
--- a/src/net/roster.h
+++ b/src/net/roster.h
@@ -31,6 +31,7 @@
    public:
     void take(const ListNews&);
     std::optional<Address> address_of(const ServerId&) const;
+    size_t listed() const;                  // all that are not gone
     bool wants_new(const ServerId&) const;  // neither draining nor gone, as far as it was told
 
    private:
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -85,14 +85,16 @@
     if (!events_->may_send(conn.id())) return over(conn.id(), {Ending::not_sent, How::finished, false, {}});
     leg.stage = Stage::writing;
     set_timer(leg, leg.give_up - Clock::now());
-    conn.send(leg.first_line);
-    if (leg.stage == Stage::writing && conn.unsent() == 0) leg.stage = Stage::waiting;
+    conn.send(leg.first_line);  // tells output_went; the leg may be over by then
 }
 
 void ServerSide::output_went(LineConn& conn) {
     Leg* leg = find(conn.id());
     if (!leg) return;
-    if (leg->stage == Stage::writing && conn.unsent() == 0) leg->stage = Stage::waiting;
+    if (leg->stage == Stage::writing && conn.unsent() == 0) {
+        leg->stage = Stage::waiting;
+        events_->leg_written(conn.id());
+    }
     if (leg->stage == Stage::standing) events_->server_drained(conn.id());
 }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -45,9 +45,11 @@
     return Fd(::socket(a.bytes.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
 
-Fd listen_on(const Address& a, std::string& fault) {
+Fd listen_on(const Address& a, std::string& fault, bool shared) {
     Fd fd = stream_socket(a);
     const int on = 1;
+    // Where the kernel has no such thing, it is the second one that will find the address taken.
+    if (fd && shared) setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
     if (fd && setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
         bind(fd.get(), reinterpret_cast<const sockaddr*>(&a.bytes), a.size) == 0 &&
         listen(fd.get(), SOMAXCONN) == 0)
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -36,7 +36,8 @@
     static std::optional<Address> from(const std::string& host_port);  // numbers only, there is no DNS
 };
 
-Fd listen_on(const Address&, std::string& fault);
+// `shared`: a new version of the program may listen there beside this one.
+Fd listen_on(const Address&, std::string& fault, bool shared = false);
 // Under way or up when it returns a descriptor; errno says why not otherwise.
 Fd connect_to(const Address&);
 int pending_error(int fd);
--- a/tests/net/test_exchange.cpp
+++ b/tests/net/test_exchange.cpp
@@ -306,3 +306,40 @@
         assert(!Address::from(odd));
     assert(Address::from("[::1]:80") && Address::from("127.0.0.1:80"));
 }};
+
+// Every way in which a call ends: each taken in is counted once, whatever its legs did.
+static const Case figures_tell_every_call_once{[] {
+    Desk d;
+    const auto sum = [&](ops::Setup how, int type) { return d.exchange.figures().tally.of(how)[type]; };
+    d.stand(1), d.stand(2, "c=pay,t=x,d=2000,g=q");
+    d.exchange.leg_written(1), d.exchange.leg_written(2);
+    d.open(3);  // turned away by every server
+    for (int k = 0; k < 3; ++k)
+        d.exchange.leg_written(3), d.exchange.leg_over(3, {Ending::full, How::finished, false, "BUSY\r\n"});
+    d.open(4, "c=pay,t=x,d=2000,g=q");  // may have run
+    d.exchange.leg_over(4, {Ending::reset, How::broke, false, {}});
+    d.open(5), d.exchange.client_ended(5, How::broke);  // left: under none
+    d.open(6), d.exchange.client_hasty(6);
+    d.open(7), d.exchange.leg_over(7, {Ending::completed, How::finished, false, "BYE\r\n"});
+    d.open(8), d.now = d.now + seconds(3), d.exchange.look_after();           // its leg's end never comes
+    d.open(9, "c=chat,t=x,d=5,g=q,at=s1"), d.exchange.leg_up(9, "UP r\r\n");  // stood before this process
+    d.open(10, "c=none,t=x,d=5,g=q");
+    d.room = false, d.open(11), d.room = true;
+    assert(d.exchange.figures().outstanding == 3 && d.exchange.figures().tally.forwards() == 5);
+    assert(sum(ops::Setup::succeeded, 0) == 1 && sum(ops::Setup::succeeded, 1) == 1);
+    assert(sum(ops::Setup::declined, 0) == 2 && sum(ops::Setup::declined, 1) == 0);
+    assert(sum(ops::Setup::aborted, 0) == 3 && sum(ops::Setup::aborted, 1) == 1);
+    d.exchange.leg_over(1, {Ending::reset, How::broke, false, {}});  // broken later: it was brought up
+    d.exchange.begin_leaving(Span{}), d.now = d.now + millis(450), d.open(12), d.exchange.look_after();
+    assert(d.exchange.figures().outstanding == 0 && sum(ops::Setup::declined, 0) == 3);
+    assert(sum(ops::Setup::succeeded, 0) == 1 && sum(ops::Setup::aborted, 0) == 3);
+}};
+
+static const Case figures_tell_of_the_list_and_what_is_avoided{[] {
+    Desk d;
+    assert(d.exchange.figures().discovered == 2 && d.exchange.figures().ejected == 0);
+    d.list(false, "s1", "DRAINING");
+    assert(d.exchange.figures().discovered == 2 && d.exchange.figures().ejected == 1);
+    d.list(false, "s1", "DELETED");
+    assert(d.exchange.figures().discovered == 1 && d.exchange.figures().ejected == 0);
+}};
--- a/tests/net/test_sockets.cpp
+++ b/tests/net/test_sockets.cpp
@@ -95,10 +95,11 @@
     Peer discovery;
     uint64_t last_id = 1'000'000'000'000'000;
 
-    explicit World(int descriptors = 1024, const std::string& place = "", const std::string& list = "push") {
+    explicit World(int descriptors = 1024, const std::string& place = "", const std::string& list = "push",
+                   const std::string& ops = "") {
         const std::string listen = free_place();
         boot = read_boot(
-            R"({"name":"n","listen":")" + listen + R"(","discovery":")" + agent.at +
+            R"({"name":"n","ops":")" + ops + R"(","listen":")" + listen + R"(","discovery":")" + agent.at +
                 R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" + std::to_string(descriptors) +
                 R"(,"memory_mb":64},"known":{"generation":1,"reset":true,"instances":[{"instanceId":"s",
                 "hostPort":")" +
@@ -519,3 +520,43 @@
         assert(!why.empty());
     }
 }};
+
+static const Case operators_are_answered_beside_callers_who_say_nothing{[] {
+    World w(1024, "", "push", free_place());
+    auto [c, s] = w.standing();
+    std::vector<Peer> silent;
+    for (int k = 0; k < 40; ++k) {
+        silent.push_back(dial(w.boot.ops));
+        if (k % 2) silent.back().write("STAT");
+    }
+    const int held = Fd::held();
+    Peer slow = dial(w.boot.ops);
+    w.turn(0.05);
+    for (const char* piece : {"ME", "TRICS", "\r", "\n"}) slow.write(piece), w.turn(0.01);
+    assert(w.says(slow, "\r\nend\r\n") && w.ends(slow) && slow.ended);
+    assert(slow.got.find(R"({"succeeded":{"chat":1},"declined":{"chat":0},"aborted":{"chat":0},"forwards":1,)"
+                         R"("outstanding":1,"discovered":1,"ejected":0})") == 0);
+    Peer quick = dial(w.boot.ops), wrong = dial(w.boot.ops), long_one = dial(w.boot.ops);
+    quick.write("STATUS\nSTATUS\n"), wrong.write(std::string_view("\xff\0\r\n", 4)),
+        long_one.write(std::string(1 << 16, 'x'));
+    assert(w.says(quick, "done\r\n") && w.ends(quick) && quick.ended && quick.got == "done\r\n");
+    assert(w.says(wrong, "error ") && w.says(long_one, "error ") && w.ends(long_one) && long_one.ended);
+    for (Peer& p : silent) assert(w.ends(p) && p.got.find("done") == std::string::npos);
+    assert(Fd::held() < held + 20 && w.count(Count::ops_cut) == 40);
+    w.balancer->begin_leaving();
+    Peer late = dial(w.boot.ops);
+    late.write("STATUS\r\n");
+    assert(w.says(late, "error "));
+}};
+
+static const Case an_unusable_address_for_operators_is_named{[] {
+    for (const std::string ops : {"nowhere", "127.0.0.1:99999", "192.0.2.1:1"}) {
+        std::string why;
+        try {
+            World w(1024, "", "push", ops);
+        } catch (const Malformed& fault) {
+            why = fault.what();
+        }
+        assert(why.find(ops) != std::string::npos);
+    }
+}};
