A new process takes over every connection of the running one, none is moved

Design: over a Unix socket in $TMPDIR (SOCK_SEQPACKET, SO_PEERCRED) the running process hands the starting one its listener (SCM_RIGHTS: the queue survives) and, where both are of the same program (a hash of the files that say what the state is), everything: module, timers, list with its version, calls in whatever they are in the middle of, buffers, and the descriptors of all connections. Nothing is let go before the new one has said that it stands; so there is one balancer at every instant, and drains, cold budgets, legs and figures need no second book. Another program gets the listener only, and the old one moves its clients on SIGTERM, as before. Cut, garbled, foreign or late state: the new one starts alone beside the old. If the new one dies, the old one sees it by the end of the socket and takes up again.

--- a/src/capture/ear.h
+++ b/src/capture/ear.h
@@ -32,6 +32,9 @@
     void probe_ended(Instant, const ServerId&, Ending, Span took, const LoadReport&);
     const Deployment& told() const { return brain_.told(); }
     bool knows(const ServerId& id) const { return brain_.knows(id); }
+    // For the process that takes this one's place: before anything is told.
+    std::string state() const { return state_of(brain_); }
+    void restore(std::string_view state) { capture::restore(brain_, state); }
     int avoided(Instant now) const { return brain_.avoided(now); }
 
    private:
--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -47,7 +47,8 @@
                 {&Clock::now, [this](Instant at, uint64_t token) { set_timer(at, token); },
                  [this](Count& short_of) { return has_room(short_of); }},
                 counters_, log),
-      ops_(loop, calls_, counters_) {
+      ops_(loop, calls_, counters_),
+      testator_(loop, duties(), log) {
     calls_.add("STATUS", [this] { return status(); });
     calls_.add("METRICS", [this] { return metrics(); });
     clients_.report_to(exchange_);
@@ -88,24 +89,28 @@
 }
 
 void Balancer::start() {
-    const Address discovery = discovery_of(boot_);
+    discovery_of(boot_);
     const auto listen = Address::from(boot_.listen);
     if (!listen)
         throw Malformed("the address to listen on, '" + boot_.listen + "', is not HOST:PORT in numbers");
-    exchange_.list_told(ListKind::persisted, boot_.known);
-    discovery_ = watch(discovery);
-    // Where a call costs nothing the whole list is surer: it holds whatever a new discovery counts from.
-    if (boot_.told.deployment.ask_list && !boot_.known.entries.empty())
-        discovery_->start_from(boot_.known.version);
-    else
-        discovery_->start();
     std::string fault;
-    if (!clients_.listen(*listen, fault)) throw Malformed("cannot listen on " + boot_.listen + ": " + fault);
     if (!boot_.ops.empty()) {
         const auto ops = Address::from(boot_.ops);
         if (!ops) throw Malformed("the operators' address, '" + boot_.ops + "', is not HOST:PORT in numbers");
         if (!ops_.listen(*ops, fault)) throw Malformed("cannot listen on " + boot_.ops + ": " + fault);
     }
+    const std::string meeting = succession_path(boot_.folder, boot_.listen);
+    heir_ = Heir::ask(meeting, log_);
+    int64_t known = boot_.known.entries.empty() ? -1 : boot_.known.version;
+    if (!boot_.told.deployment.ask_list)
+        known = -1;  // a call costs nothing there, and the whole list is surer
+    if (heir_)
+        known = take_over(known);
+    else if (exchange_.list_told(ListKind::persisted, boot_.known); !clients_.listen(*listen, fault))
+        throw Malformed("cannot listen on " + boot_.listen + ": " + fault);
+    start_watch(known);
+    if (!meeting.empty() && !testator_.open(meeting, fault))
+        log_.warning() << "nothing can be handed over to the next process: " << meeting << ": " << fault;
     started_ = true;
     arm();
     ev_timer_start(loop_, &looks_);
@@ -113,16 +118,91 @@
                 << boot_.known.entries.size() << " servers known";
 }
 
+// ---- from one process to the next ----
+
+// Everything stands before the old process is told that it may let go.
+int64_t Balancer::take_over(int64_t known) {
+    const Instant now = Clock::now();
+    if (heir_->whole()) {
+        std::string from;
+        timers_.clear();  // the module's own come with it
+        try {
+            handover::unpack({exchange_, clients_, servers_, timers_, known, from}, heir_->state(),
+                             heir_->take_conns(), now);
+        } catch (const Malformed& wrong) {
+            throw HandoverFailed(wrong.what());
+        }
+        if (from != boot_.discovery) known = -1;  // another one counts from somewhere else
+        exchange_.told_again(boot_.told);
+        servers_.delays_from(least_delay_told(exchange_.told()));
+    } else {
+        exchange_.list_told(ListKind::persisted, boot_.known);
+    }
+    clients_.listen_with(heir_->take_listener());
+    if (!heir_->confirm()) throw HandoverFailed("the old process did not let go");
+    heir_->follow(loop_, [this](int held) { others_hold(held); });
+    log_.info() << "took over " << (heir_->whole() ? "all" : "the listener") << " in "
+                << (Clock::now() - now).ns / 1000 << " us, " << clients_.size() << " clients, "
+                << servers_.size() << " legs";
+    return known;
+}
+
+Testator::Duties Balancer::duties() {
+    return {[this] { return started_ && !leaving_; }, [this] { return clients_.listener(); },
+            [this] {
+                int64_t version = discovery_->version();
+                return handover::pack({exchange_, clients_, servers_, timers_, version, boot_.discovery},
+                                      Clock::now());
+            },
+            [this](bool whole) { let_go(whole); }, [this] { take_up_again(); }};
+}
+
+// Clients that have had their answers are still seen off here.
+void Balancer::let_go(bool whole) {
+    passed_on_ = true;
+    clients_.pause_listening(true);
+    log_.info() << "a new process took over " << (whole ? "all of " : "the listener, not the ")
+                << clients_.size() << " clients";
+    if (!whole) return;
+    clients_.give_away();
+    servers_.give_away();
+    exchange_.give_away();
+    discovery_.reset(), next_discovery_.reset();
+    ev_loop_fork(loop_);  // the kernel would go on telling of descriptors that another process has too
+}
+
+// The new process died; whoever connects from now on is served here again.
+void Balancer::take_up_again() {
+    if (leaving_) return;
+    log_.warning() << "the process that took over is gone, taking up again";
+    passed_on_ = false;
+    clients_.pause_listening(false);
+    if (!discovery_) start_watch(-1);
+    std::string fault;
+    testator_.open(succession_path(boot_.folder, boot_.listen), fault);
+}
+
+void Balancer::start_watch(int64_t from) {
+    discovery_ = watch(discovery_of(boot_));
+    from < 0 ? discovery_->start() : discovery_->start_from(from);
+}
+
+void Balancer::others_hold(int descriptors) {
+    others_ = descriptors;
+    clients_.allow(descriptors_ - others_);
+}
+
 // The old watch goes on until the new address has answered: a mistyped one, or one that is not up yet, must
 // not leave the balancer without news. Versions are the new address's own, so it is asked for the whole list.
 void Balancer::reload(Boot now) {
+    if (passed_on_) throw Malformed("another process has taken over");
     const Address discovery = discovery_of(now);
     if (now.listen != boot_.listen || now.name != boot_.name || now.ops != boot_.ops)
         log_.warning() << "name, listening and operators' address stay until the next start";
     now.listen = boot_.listen, now.name = boot_.name, now.ops = boot_.ops;
     boot_ = std::move(now);
     descriptors_ = descriptors_of(boot_);
-    clients_.allow(descriptors_);
+    others_hold(others_);
     exchange_.told_again(boot_.told);
     servers_.delays_from(least_delay_told(exchange_.told()));
     next_discovery_ = watch(discovery);
@@ -139,7 +219,7 @@
 
 bool Balancer::has_room(Count& short_of) {
     clients_.make_room(per_call + descriptors_kept);
-    if (Fd::held() + per_call + descriptors_kept > descriptors_)
+    if (Fd::held() + others_ + per_call + descriptors_kept > descriptors_)
         return short_of = Count::refused_for_descriptors, false;
     if (boot_.memory_mb > 0 && LineConn::buffered_by_all() > (boot_.memory_mb << 20) / buffered_part)
         return short_of = Count::refused_for_memory, false;
@@ -147,7 +227,7 @@
 }
 
 std::string Balancer::status() const {
-    return started_ && !leaving_ ? "done\r\n" : "error this process takes no clients\r\n";
+    return started_ && !leaving_ && !passed_on_ ? "done\r\n" : "error this process takes no clients\r\n";
 }
 
 std::string Balancer::metrics() const { return ops::printed(exchange_.figures()) + "\r\nend\r\n"; }
@@ -183,6 +263,7 @@
     clients_.look_for_silent(now);
     exchange_.look_after();
     ops_.look_for_silent(now);
+    testator_.tell_held(Fd::held());
     look_after_recorder();
     if (!leaving_) return;
     const bool done = exchange_.all_gone() && client_farewell_.size() + server_farewell_.size() == 0;
@@ -227,7 +308,7 @@
     Span longest;
     for (const TrafficType& t : boot_.told.deployment.types) longest = std::max(longest, t.guard_time);
     longest = std::min(longest, longest_leave);
-    arrivals_end_ = Clock::now() + arrivals_over;
+    arrivals_end_ = Clock::now() + (passed_on_ ? Span{} : arrivals_over);
     exit_at_ = Clock::now() + longest + last_words;
     exchange_.begin_leaving(longest);
 }
--- a/src/net/balancer.h
+++ b/src/net/balancer.h
@@ -5,6 +5,7 @@
 #include <iosfwd>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 #include "capture/recorder.h"
@@ -14,16 +15,23 @@
 #include "net/exchange.h"
 #include "net/ops_side.h"
 #include "net/server_side.h"
+#include "net/succession.h"
 
 namespace headrouter {
 
+// What another process began to hand over did not come whole: start once more, alone.
+class HandoverFailed : public std::runtime_error {
+    using runtime_error::runtime_error;
+};
+
 class Balancer {
    public:
     Balancer(struct ev_loop*, const Boot&, const Clock&, Log&);
     ~Balancer();
     Balancer(const Balancer&) = delete;
     Balancer& operator=(const Balancer&) = delete;
-    void start();  // throws Malformed where an address cannot be used
+    // Throws Malformed where an address cannot be used.
+    void start();
     // Takes over what can change under way and asks the address of discovery named there; throws Malformed,
     // and leaves everything as it was, where it cannot be used.
     void reload(Boot);
@@ -43,6 +51,12 @@
     void set_timer(Instant, uint64_t token);
     void look_after();
     bool has_room(Count& short_of);
+    int64_t take_over(int64_t known);
+    void let_go(bool whole);
+    void take_up_again();
+    void start_watch(int64_t from);
+    void others_hold(int descriptors);
+    Testator::Duties duties();
     std::string status() const;
     std::string metrics() const;
     std::unique_ptr<Discovery> watch(const Address&);
@@ -65,7 +79,10 @@
     std::unique_ptr<Discovery> discovery_, next_discovery_;  // the next one has not answered yet
     std::unique_ptr<capture::Recorder> recorder_;
     uint64_t capture_faults_ = 0, capture_dropped_ = 0, capture_frames_ = 0;  // of it, as counted last
-    bool leaving_ = false;
+    bool leaving_ = false, passed_on_ = false;
+    int others_ = 0;  // descriptors that the process before this one still holds
+    std::unique_ptr<Heir> heir_;
+    Testator testator_;
     Instant arrivals_end_, exit_at_;
 };
 
--- a/src/net/boot.cpp
+++ b/src/net/boot.cpp
@@ -58,6 +58,7 @@
         if (when == Read::again && field == &boot.discovery) continue;
         if (const char* value = std::getenv(variable); value && *value) *field = value;
     }
+    if (const char* folder = std::getenv("TMPDIR"); folder && *folder) boot.folder = folder;
     return boot;
 }
 
--- a/src/net/boot.h
+++ b/src/net/boot.h
@@ -10,7 +10,8 @@
 
 struct Boot {
     std::string name, listen, discovery;
-    std::string ops;  // where operators call; empty: nowhere
+    std::string ops;     // where operators call; empty: nowhere
+    std::string folder;  // common to this process and the next one; empty: nothing is handed over
     uint64_t seed = 0;
     int descriptors = 1024;
     size_t memory_mb = 0;  // 0: not limited
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -46,11 +46,23 @@
 ClientSide::~ClientSide() { stop_listening(); }
 
 bool ClientSide::listen(const Address& address, std::string& fault) {
-    listener_ = listen_on(address, fault, true);
-    if (!listener_) return false;
+    Fd listener = listen_on(address, fault, true);
+    if (!listener) return false;
+    listen_with(std::move(listener));
+    return true;
+}
+
+void ClientSide::listen_with(Fd listener) {
+    listener_ = std::move(listener);
     ev_io_set(&accept_, listener_.get(), EV_READ);
     ev_io_start(loop_, &accept_);
-    return true;
+}
+
+void ClientSide::pause_listening(bool on) { on ? ev_io_stop(loop_, &accept_) : ev_io_start(loop_, &accept_); }
+
+void ClientSide::give_away() {
+    for (auto& [id, client] : conns_) client.conn->let_go();
+    conns_.clear(), greeting_.clear();
 }
 
 void ClientSide::stop_listening() {
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -18,6 +18,10 @@
     ~ClientSide() override;
     void report_to(ClientEvents& events) { events_ = &events; }
     bool listen(const Address&, std::string& fault);
+    void listen_with(Fd listener);
+    int listener() const { return listener_.get(); }
+    void pause_listening(bool);  // what comes waits, or is another process's that has the listener too
+    void give_away();            // another process has all connections now
     void stop_listening();
     void allow(int most_descriptors);
     void make_room(int descriptors);  // at the cost of those that say nothing, or have their answer
@@ -32,6 +36,7 @@
     size_t size() const { return conns_.size(); }
 
    private:
+    friend struct HandoverAccess;
     enum class Stage { greeting, waiting, served };
     struct Client {
         std::unique_ptr<LineConn> conn;
--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -69,41 +69,41 @@
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // until the loop listens: it must not end a balancer that still starts
     struct ev_loop* loop = ev_default_loop(EVFLAG_AUTO);
-    Balancer balancer(loop, boot, clock, log);
+    auto balancer = std::make_unique<Balancer>(loop, boot, clock, log);
     struct Asked {
-        Balancer& balancer;
+        std::unique_ptr<Balancer>& balancer;
         const Said& said;
         OperatorFile& file;
         const Clock& clock;
         Log& log;
     } asked{balancer, said, file, clock, log};
     const auto leave = [](struct ev_loop*, ev_signal* w, int) {
-        static_cast<Asked*>(w->data)->balancer.begin_leaving();
+        static_cast<Asked*>(w->data)->balancer->begin_leaving();
     };
     const auto print = [](struct ev_loop*, ev_signal* w, int) {
         Asked& a = *static_cast<Asked*>(w->data);
-        a.log.info() << printed(a.balancer.counters());
+        a.log.info() << printed(a.balancer->counters());
     };
     const auto reload = [](struct ev_loop*, ev_signal* w, int) {
         Asked& a = *static_cast<Asked*>(w->data);
         try {  // both are read before anything is taken over
             OperatorFile now = operator_file(a.said);
-            a.balancer.reload(read_boot_here(a.said.path, a.clock, Read::again));
+            a.balancer->reload(read_boot_here(a.said.path, a.clock, Read::again));
             a.file = std::move(now);
             set_log(a.log, a.file);
-            set_recording(a.balancer, a.file);
+            set_recording(*a.balancer, a.file);
         } catch (const Malformed& fault) {
-            a.balancer.refuse_reload(fault.what());
+            a.balancer->refuse_reload(fault.what());
         }
     };
     const auto toggle_recording = [](struct ev_loop*, ev_signal* w, int) {
         Asked& a = *static_cast<Asked*>(w->data);
         if (!a.file.capture)
             a.log.warning() << "recording: the operator's file has no [capture] with a folder";
-        else if (a.balancer.records())
-            a.balancer.stop_recording();
+        else if (a.balancer->records())
+            a.balancer->stop_recording();
         else
-            a.balancer.record(a.file.capture->keeping);
+            a.balancer->record(a.file.capture->keeping);
     };
     ev_signal term, interrupt, user, other_user, hang_up;
     ev_signal_init(&term, leave, SIGTERM);
@@ -113,11 +113,21 @@
     ev_signal_init(&hang_up, reload, SIGHUP);
     for (ev_signal* s : {&term, &interrupt, &user, &other_user, &hang_up})
         s->data = &asked, ev_signal_start(loop, s);
-    set_recording(balancer, file);
-    balancer.start();
+    set_recording(*balancer, file);
+    try {
+        balancer->start();
+    } catch (const HandoverFailed& fault) {
+        log.warning() << "starting alone, beside the old process: " << fault.what();
+        balancer.reset();  // before the next one: it holds the addresses
+        Boot alone = boot;
+        alone.folder.clear();
+        balancer = std::make_unique<Balancer>(loop, alone, clock, log);
+        set_recording(*balancer, file);
+        balancer->start();
+    }
     ev_run(loop, 0);
     for (ev_signal* s : {&term, &interrupt, &user, &other_user, &hang_up}) ev_signal_stop(loop, s);
-    log.info() << printed(balancer.counters());
+    log.info() << printed(balancer->counters());
     return 0;
 }
 
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -22,6 +22,7 @@
     Discovery& operator=(const Discovery&) = delete;
     void start();
     void start_from(int64_t version);
+    int64_t version() const { return has_list_ ? version_ : -1; }
 
    private:
     void ask();
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -351,6 +351,18 @@
     }
 }
 
+// The module hears that the calls went, so that it is of use should they come back here one by one.
+void Exchange::give_away() {
+    const Instant now = clock_.now();
+    std::vector<CallId> known;
+    for (const auto& [id, flow] : flows_)
+        if (flow.up || !flow.inherited) known.push_back(id);
+    std::sort(known.begin(), known.end());
+    flows_.clear(), open_ids_.clear();
+    for (const CallId id : known) brain_.call_gone(now, id);
+    due_.clear();
+}
+
 // ---- the Brain's actions ----
 
 // They are noted down while the Brain speaks and done when it has finished: what follows from one of them may
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -56,9 +56,11 @@
     bool all_gone() const { return flows_.empty(); }
     const Told& told() const { return told_; }
     ops::Figures figures() const;
+    void give_away();  // another process has all calls now
     void record_to(capture::Tape* tape) { brain_.record_to(tape); }
 
    private:
+    friend struct HandoverAccess;
     struct Flow {
         Opening opening;
         ServerId server;
--- a/src/net/line_conn.cpp
+++ b/src/net/line_conn.cpp
@@ -77,6 +77,12 @@
     fd_.close();
 }
 
+void LineConn::let_go() {
+    owner_ = nullptr;
+    ev_io_stop(loop_, &io_);
+    fd_.close();
+}
+
 void LineConn::end(How how) {
     if (told_end_) return;
     told_end_ = true;
--- a/src/net/line_conn.h
+++ b/src/net/line_conn.h
@@ -44,12 +44,14 @@
     void finish();             // end sending after the last byte, then read to the end: closing earlier could
                                // wipe out what was just sent
     void abort();
+    void let_go();  // another process has the connection now: no word to the other side
     size_t behind() const { return behind_; }  // bytes that have come after the line being handed over
     bool closed() const { return !fd_; }
     uint64_t id() const { return id_; }
     static size_t buffered_by_all() { return all_buffered_; }
 
    private:
+    friend struct HandoverAccess;
     void on_io(int events);
     void read_some();
     void deliver();
--- a/src/net/notes.h
+++ b/src/net/notes.h
@@ -25,6 +25,7 @@
     Note settle(Instant now, Heard&);
 
    private:
+    friend struct HandoverAccess;
     Note delay(Instant at, Heard&, double figure);
     bool known_beat(Instant) const;
     double least_ms_;
--- a/src/net/roster.h
+++ b/src/net/roster.h
@@ -35,6 +35,7 @@
     bool wants_new(const ServerId&) const;  // neither draining nor gone, as far as it was told
 
    private:
+    friend struct HandoverAccess;
     struct Place {
         std::optional<Address> address;
         Condition condition;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -44,29 +44,40 @@
 
 void ServerSide::set_timer(Leg& leg, Span in) {
     ev_timer_stop(loop_, &leg.timer);
+    leg.rings = Clock::now() + in;
     ev_now_update(loop_);
     ev_timer_set(&leg.timer, std::max(0.0, in_seconds(in)), 0);
     ev_timer_start(loop_, &leg.timer);
 }
 
+std::unique_ptr<ServerSide::Leg> ServerSide::make_leg(CallId id) {
+    auto leg = std::make_unique<Leg>();
+    leg->side = this;
+    leg->id = id;
+    ev_timer_init(
+        &leg->timer,
+        [](struct ev_loop*, ev_timer* w, int) {
+            Leg& l = *static_cast<Leg*>(w->data);
+            l.side->time_out(l);
+        },
+        0, 0);
+    leg->timer.data = leg.get();
+    return leg;
+}
+
+void ServerSide::give_away() {
+    for (auto& [id, leg] : legs_) ev_timer_stop(loop_, &leg->timer), leg->conn->let_go();
+    legs_.clear(), places_.clear();
+}
+
 void ServerSide::open(CallId id, const Address& address, std::string first_line, Span connect_time,
                       Span wait) {
     counters_.must_hold(!find(id));
-    auto& leg = *(legs_[id] = std::make_unique<Leg>());
-    leg.side = this;
-    leg.id = id;
+    Leg& leg = *(legs_[id] = make_leg(id));
     leg.first_line = std::move(first_line);
     leg.at.assign(reinterpret_cast<const char*>(&address.bytes), address.size);
     ++places_[leg.at].legs;
     leg.give_up = Clock::now() + wait;
-    ev_timer_init(
-        &leg.timer,
-        [](struct ev_loop*, ev_timer* w, int) {
-            Leg& l = *static_cast<Leg*>(w->data);
-            l.side->time_out(l);
-        },
-        0, 0);
-    leg.timer.data = &leg;
     Fd fd = connect_to(address);
     if (!fd) {
         // What this process is short of says nothing about the server, which must not be distrusted for it.
--- a/src/net/server_side.h
+++ b/src/net/server_side.h
@@ -23,10 +23,12 @@
     void hold_back(CallId, bool) override;
     size_t unsent(CallId) const override;
     void delays_from(double least_ms) { notes_.delays_from(least_ms); }
+    void give_away();              // another process has all legs now
     void look_after(Instant now);  // a few times a second
     size_t size() const { return legs_.size(); }
 
    private:
+    friend struct HandoverAccess;
     enum class Stage { connecting, writing, waiting, standing };
     struct Place {  // a server's address, as long as there are legs to it
         int legs = 0;
@@ -40,6 +42,7 @@
         std::string first_line, at;
         Stage stage = Stage::connecting;
         Instant give_up;     // answer wanted by then
+        Instant rings;       // when its timer does, until it stands
         Instant unanswered;  // oldest client line that brought nothing back; zero where there is none
         NoteSorter::Heard heard;
         bool bye = false, moved = false, held_back = false;
@@ -56,6 +59,7 @@
     void tell(CallId, NoteSorter::Note, double figure);
     void answer_came(Leg&, std::string_view line);
     void time_out(Leg&);
+    std::unique_ptr<Leg> make_leg(CallId);
     void set_timer(Leg&, Span);
     void over(CallId, LegEnd);
     Leg* find(CallId);
--- /dev/null
+++ b/tests/net/peers_by_hand.h
@@ -0,0 +1,76 @@
+// What the tests of sockets share: the other ends of connections, driven by hand.
+#pragma once
+#include <ev.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+
+#include "helpers.h"
+#include "net/clock.h"
+#include "net/socket.h"
+
+// The other end of a connection, driven by hand.
+struct Peer {
+    Fd fd;
+    std::string got;
+    bool ended = false, broke = false;
+    void read() {
+        char bytes[65536];
+        for (ssize_t n; fd && !ended && !broke;) {
+            if ((n = recv(fd.get(), bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
+                got.append(bytes, size_t(n));
+            else if (n == 0)
+                ended = true;
+            else if (errno == EAGAIN)
+                return;
+            else
+                broke = true;
+        }
+    }
+    void write(std::string_view s) { ::send(fd.get(), s.data(), s.size(), MSG_NOSIGNAL); }
+    void fin() { shutdown(fd.get(), SHUT_WR); }
+    void rst() { reset_on_close(fd.get()), fd.close(); }
+};
+
+inline std::string port_of(int fd) {
+    sockaddr_in a{};
+    socklen_t size = sizeof a;
+    getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
+    return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+}
+
+struct Listener {
+    std::string fault;
+    Fd fd = listen_on(*Address::from("127.0.0.1:0"), fault);
+    std::string at = port_of(fd.get());
+    Peer accept() { return {Fd(::accept4(fd.get(), nullptr, nullptr, SOCK_CLOEXEC)), {}}; }
+};
+
+// Where the balancer listens: its port was free a moment ago, and on a host of this process's own nobody
+// takes it.
+inline std::string free_place() {
+    const std::string at = Listener{}.at;
+    const auto host = std::to_string(getpid() >> 8 & 255) + "." + std::to_string(getpid() & 255);
+    return "127.77." + host + at.substr(at.find(':'));
+}
+
+inline Peer dial(const std::string& at) { return {connect_to(*Address::from(at)), {}}; }
+
+struct Loop {
+    struct ev_loop* loop = ev_loop_new(0);
+    ~Loop() { ev_loop_destroy(loop); }
+    // Turns the loop until it holds, for two seconds at most.
+    bool until(const std::function<bool()>& holds) {
+        const Instant end = Clock::now() + seconds(2);
+        bool held = holds();
+        for (; !held && Clock::now() < end; held = holds()) ev_run(loop, EVRUN_NOWAIT), usleep(500);
+        return held;
+    }
+    void turn(double s) {
+        const Instant end = Clock::now() + seconds(s);
+        until([&] { return Clock::now() >= end; });
+    }
+};
--- /dev/null
+++ b/tests/net/test_upgrade.cpp
@@ -0,0 +1,328 @@
+// A second process beside the running one, as operators start it: real processes, with the test as their
+// clients, servers and discovery.
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>  // its streams must be there before the cases run
+
+#include "net/command_line.h"
+#include "net/handover.h"
+#include "peers_by_hand.h"
+
+struct Site : Loop {
+    Listener server, agent;
+    std::string listen = free_place(), folder = "upgrade_test_" + std::to_string(getpid());
+    std::string meeting = folder + "/headrouter-" + listen + ".sock";
+    std::vector<pid_t> children;
+    std::vector<Peer> watches;  // that wait for news
+    uint64_t last_id = 1'000'000'000'000'000;
+
+    Site() { mkdir(folder.c_str(), 0700); }
+    ~Site() {
+        for (const pid_t child : children) kill(child, SIGKILL), waitpid(child, nullptr, 0);
+        const std::string made = config();
+        unlink(made.c_str()), unlink(meeting.c_str()), rmdir(folder.c_str());
+    }
+    std::string config() const { return folder + "/config.json"; }
+    void write_config(const std::string& ops, const std::string& settings_end = "}]}}") {
+        std::ofstream(config()) << R"({"listen":")" << listen << R"(","ops":")" << ops << R"(","discovery":")"
+                                << agent.at
+                                << R"(","seed":"1f","limits":{"sockets":400},"known":{"generation":1,
+            "reset":true,"instances":[{"instanceId":"s","hostPort":")"
+                                << server.at << R"(","zone":"a","lifecycle":"SERVING"}]},
+            "settings":{"discovery":"push","failureDomains":["a"],"ceilings":{"maxLegs":2,"dialTimeoutNs":150000000},
+            "invariants":{"coldNs":0},"trafficTypes":[{"name":"chat","effect":"pure","setupTargetNs":800000000,
+            "guardTimeNs":1000000000)"
+                                << settings_end;
+    }
+    // A program and the address where it can be asked.
+    struct Program {
+        pid_t pid;
+        std::string ops;
+    };
+    Program launch(const char* tmpdir = nullptr) {
+        std::string ops = free_place();
+        write_config(ops);
+        return {spawn(tmpdir ? tmpdir : folder.c_str()), std::move(ops)};
+    }
+    pid_t spawn(const char* tmpdir) {
+        const pid_t child = fork();
+        if (child == 0) {
+            setenv("PROXY_CONFIG", config().c_str(), 1);
+            tmpdir&&* tmpdir ? setenv("TMPDIR", tmpdir, 1) : unsetenv("TMPDIR");
+            std::string serve = "serve", level = "--log=error", name = "headrouter";
+            char* args[] = {name.data(), serve.data(), level.data(), nullptr};
+            _exit(command_line(3, args));
+        }
+        children.push_back(child);
+        return child;
+    }
+    std::string ask(const Program& program, const std::string& call) {
+        Peer p = dial(program.ops);
+        p.write(call + "\r\n");
+        until([&] { return p.read(), p.ended || p.broke; });
+        return p.got;
+    }
+    Program start(const char* tmpdir = nullptr) {
+        Program program = launch(tmpdir);
+        assert(until([&] { return ask(program, "STATUS") == "done\r\n"; }));
+        return program;
+    }
+    bool exits(pid_t child, int& status) {
+        return until([&] { return waitpid(child, &status, WNOHANG) == child; });
+    }
+    void leaves(pid_t child) {
+        int status = -1;
+        kill(child, SIGTERM);
+        assert(exits(child, status) && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    }
+    bool says(Peer& p, const std::string& text) {
+        return until([&] { return p.read(), p.got.find(text) != std::string::npos; });
+    }
+    Peer client() {
+        Peer p = dial(listen);
+        p.write("OPEN " + std::to_string(++last_id) + " 2b c=chat,d=900\r\n");
+        return p;
+    }
+    Peer taken() {
+        Peer p;
+        assert(until([&] { return (p = server.accept(), bool(p.fd)); }));
+        assert(says(p, " 2b c=chat,d="));
+        return p;
+    }
+    std::pair<Peer, Peer> standing() {
+        Peer c = client(), s = taken();
+        s.write("UP r\r\n");
+        assert(says(c, "UP r\r\n"));
+        return {std::move(c), std::move(s)};
+    }
+    void carries(std::pair<Peer, Peer>& pair, const std::string& line) {
+        pair.first.write(line), pair.second.write("re: " + line);
+        assert(says(pair.second, line) && says(pair.first, "re: " + line));
+    }
+    // One that speaks the starting process's part by hand.
+    Peer caller(const std::string& layout) {
+        Peer p{Fd(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0)), {}};
+        sockaddr_un a{};
+        a.sun_family = AF_UNIX;
+        std::copy(meeting.begin(), meeting.end(), a.sun_path);
+        assert(connect(p.fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+        p.write("headrouter 1 " + layout);
+        return p;
+    }
+};
+
+static const Case a_new_process_takes_over_whatever_the_old_one_was_in_the_middle_of{[] {
+    Site w;
+    const auto old = w.start();
+    auto pair = w.standing();
+    pair.first.write("half a ");
+    Peer waits = w.client(), at = w.taken();  // its server has not answered yet
+    Peer slow = dial(w.listen);
+    slow.write("OPEN 0123456789");
+    w.turn(0.05);
+    const auto next = w.start();
+    assert(w.ask(old, "STATUS").substr(0, 5) == "error");
+    w.leaves(old.pid);  // right after the yes
+    pair.first.write("line\r\n");
+    assert(w.says(pair.second, "half a line\r\n"));
+    at.write("UP q\r\n");
+    assert(w.says(waits, "UP q\r\n"));
+    slow.write("abcdef 2b c=chat,d=900\r\n");
+    Peer slow_at = w.taken();
+    slow_at.write("UP t\r\n");
+    assert(w.says(slow, "UP t\r\n"));
+    w.carries(pair, "more\r\n");
+    // What stood is none of those that it brought up; an id that is open stays taken.
+    assert(w.ask(next, "METRICS").find(R"({"succeeded":{"chat":2},)") == 0);
+    assert(w.ask(next, "METRICS").find(R"("forwards":1,"outstanding":3,)") != std::string::npos);
+    Peer twice = dial(w.listen);
+    twice.write("OPEN " + std::to_string(w.last_id) + " 2b c=chat,d=900\r\n");
+    assert(w.says(twice, "ERR\r\n"));
+    pair.second.write("BYE\r\n"), pair.second.fin();
+    assert(w.says(pair.first, "BYE\r\n") && w.until([&] { return pair.first.read(), pair.first.ended; }));
+}};
+
+static const Case three_versions_in_a_row_and_a_word_to_leave_that_never_comes{[] {
+    Site w;
+    const auto first = w.start();
+    auto pair = w.standing();
+    const auto second = w.start(), third = w.start();
+    w.carries(pair, "one\r\n");
+    w.turn(0.3);
+    w.carries(pair, "two\r\n");
+    w.leaves(second.pid), w.leaves(first.pid);  // late, and not in turn
+    w.carries(pair, "three\r\n");
+    assert(w.ask(third, "METRICS").find(R"("outstanding":1,)") != std::string::npos);
+}};
+
+static const Case the_old_process_serves_on_where_the_new_one_dies{[] {
+    Site w;
+    const auto old = w.start();
+    auto pair = w.standing();
+    {
+        Peer heir = w.caller(std::string(handover::layout()));
+        w.turn(0.02);
+    }  // gone with all descriptors in its hands
+    assert(w.until([&] { return w.ask(old, "STATUS") == "done\r\n"; }));
+    w.carries(pair, "still here\r\n");
+    { Peer stranger = w.caller("\xff\xfe"); }
+    w.carries(pair, "and here\r\n");
+    const auto next = w.start();
+    w.carries(pair, "and there\r\n");
+    kill(next.pid, SIGKILL);  // what it held is lost; whoever comes now is served by the old one again
+    assert(w.until([&] { return pair.first.read(), pair.first.ended || pair.first.broke; }));
+    assert(w.until([&] { return w.ask(old, "STATUS") == "done\r\n"; }));
+    auto again = w.standing();
+    const auto last = w.start();
+    w.leaves(old.pid);
+    w.carries(again, "on\r\n");
+    assert(w.ask(last, "STATUS") == "done\r\n");
+}};
+
+static const Case a_state_that_is_cut_or_garbled_means_a_clean_start{[] {
+    Site w;
+    const auto old = w.start();
+    auto pair = w.standing();
+    std::string state;
+    {
+        Peer heir = w.caller(std::string(handover::layout()));
+        char bytes[65536];
+        for (ssize_t n; (n = recv(heir.fd.get(), bytes, sizeof bytes, 0)) > 0 && bytes[0] != 'w';)
+            if (bytes[0] == 'p') state.append(bytes + 1, size_t(n) - 1);
+    }
+    assert(state.size() > 500);
+    w.carries(pair, "on\r\n");
+    kill(old.pid, SIGKILL);
+    waitpid(old.pid, nullptr, 0);
+    std::string flipped = state, other = state;
+    flipped[state.size() / 2] = char(flipped[state.size() / 2] ^ 1);
+    other[8] = char(other[8] ^ 1);  // of the program's name
+    for (const std::string& bad : {state.substr(0, 400), std::string(), flipped, other, state}) {
+        unlink(w.meeting.c_str());
+        sockaddr_un a{};
+        a.sun_family = AF_UNIX;
+        std::copy(w.meeting.begin(), w.meeting.end(), a.sun_path);
+        Fd door(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+        assert(bind(door.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+        assert(listen(door.get(), 1) == 0);
+        const auto next = w.launch();
+        Peer heir{Fd(accept4(door.get(), nullptr, nullptr, SOCK_CLOEXEC)), {}};
+        std::string fault;
+        const Fd listener = listen_on(*Address::from(w.listen), fault, true);
+        char control[CMSG_SPACE(sizeof(int))] = {}, word = 'd';
+        iovec part{&word, 1};
+        msghdr message{};
+        message.msg_iov = &part, message.msg_iovlen = 1;
+        message.msg_control = control, message.msg_controllen = sizeof control;
+        cmsghdr* c = CMSG_FIRSTHDR(&message);
+        c->cmsg_level = SOL_SOCKET, c->cmsg_type = SCM_RIGHTS, c->cmsg_len = CMSG_LEN(sizeof(int));
+        const int fd = listener.get();
+        std::copy_n(reinterpret_cast<const char*>(&fd), sizeof fd, CMSG_DATA(c));
+        assert(sendmsg(heir.fd.get(), &message, 0) == 1);
+        heir.write("p" + bad), heir.write("w");  // and no descriptor of any call
+        assert(w.until([&] { return heir.read(), heir.ended || heir.broke; }));
+        assert(w.until([&] { return w.ask(next, "STATUS") == "done\r\n"; }));
+        kill(next.pid, SIGKILL);
+        waitpid(next.pid, nullptr, 0);
+    }
+}};
+
+static const Case another_program_gets_the_listener_and_the_old_clients_are_moved{[] {
+    Site w;
+    const auto old = w.start();
+    auto pair = w.standing();
+    Peer heir = w.caller("another");
+    heir.write("t");
+    assert(w.until([&] { return w.ask(old, "STATUS").substr(0, 5) == "error"; }));
+    Peer queued = dial(w.listen);
+    queued.write("PING\r\n");
+    w.turn(0.1);
+    queued.read();
+    assert(queued.got.empty());  // the heir's to answer
+    w.carries(pair, "meanwhile\r\n");
+    kill(old.pid, SIGTERM);
+    assert(w.says(pair.first, "MOVE\r\n"));
+    int status = -1;
+    assert(w.exits(old.pid, status) && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}};
+
+static const Case a_bad_second_start_leaves_the_first_alone{[] {
+    Site w;
+    const auto old = w.start();
+    auto pair = w.standing();
+    w.write_config("nowhere");
+    int status = -1;
+    assert(w.exits(w.spawn(w.folder.c_str()), status) && WIFEXITED(status) && WEXITSTATUS(status) == 1);
+    w.write_config(free_place(), "");
+    assert(w.exits(w.spawn(w.folder.c_str()), status) && WIFEXITED(status) && WEXITSTATUS(status) == 1);
+    assert(w.ask(old, "STATUS") == "done\r\n");
+    w.carries(pair, "on\r\n");
+}};
+
+static const Case without_a_common_folder_both_listen_side_by_side{[] {
+    for (const char* folder : {"", "/nowhere/at/all", "/proc"}) {
+        Site w;
+        const auto old = w.start(folder);
+        auto pair = w.standing();
+        const auto next = w.start(folder);
+        assert(w.ask(old, "STATUS") == "done\r\n");
+        w.carries(pair, "on\r\n");
+        kill(old.pid, SIGTERM);
+        assert(w.says(pair.first, "MOVE\r\n"));
+        int status = -1;
+        assert(w.exits(old.pid, status) && WEXITSTATUS(status) == 0);
+        auto other = w.standing();
+        w.carries(other, "there\r\n");
+    }
+}};
+
+static const Case a_killed_process_s_socket_does_not_hold_up_the_next{[] {
+    Site w;
+    const auto old = w.start();
+    kill(old.pid, SIGKILL);
+    waitpid(old.pid, nullptr, 0);
+    assert(access(w.meeting.c_str(), F_OK) == 0);
+    const auto next = w.start();
+    auto pair = w.standing();
+    const auto last = w.start();
+    w.leaves(next.pid);
+    w.carries(pair, "on\r\n");
+    w.leaves(last.pid);
+    assert(access(w.meeting.c_str(), F_OK) != 0);
+}};
+
+static const Case none_of_a_thousand_that_connect_meanwhile_goes_unheard{[] {
+    Site w;
+    auto program = w.start();
+    std::vector<Peer> open;
+    int heard = 0;
+    const auto listen_to = [&](size_t most) {
+        assert(w.until([&] {
+            std::erase_if(open, [&](Peer& p) {
+                p.read();
+                assert(!p.broke);
+                return p.got == "PONG\r\n" && ++heard;
+            });
+            return open.size() <= most;
+        }));
+    };
+    for (int round = 0; round < 3; ++round) {
+        const auto next = w.launch();
+        for (int k = 0; k < 340; ++k) {
+            open.push_back(dial(w.listen));
+            open.back().write("PING\r\n");
+            if (k % 4 == 0) usleep(1000);
+            listen_to(40);
+        }
+        assert(w.until([&] { return w.ask(next, "STATUS") == "done\r\n"; }));
+        w.leaves(program.pid);
+        program = next;
+    }
+    listen_to(0);
+    assert(heard == 1020);
+}};
