The lab measures operators' answers in a crowd and what a new version costs

`measure upgrade`: 20 new processes in a row under 200 standing connections that always wait for a line, and connects that never stop. STATUS says yes only when a server is known: without one the first placement is not possible.

--- /dev/null
+++ b/src/lab/measure_ops.cpp
@@ -0,0 +1,274 @@
+#include "lab/measure_ops.h"
+
+#include <sched.h>
+
+#include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+#include <deque>
+#include <filesystem>
+#include <functional>
+#include <list>
+#include <map>
+
+#include "lab/child.h"
+#include "lab/statistics.h"
+#include "net/line_conn.h"
+#include "standin/block.h"
+
+namespace headrouter::lab {
+
+namespace {
+
+constexpr int failed = 1, not_judged = 3;
+
+struct Folder {
+    std::string path = (std::filesystem::temp_directory_path() / "headrouter-ops-XXXXXX").string();
+    Folder() {
+        if (!mkdtemp(path.data())) throw std::runtime_error("no folder for the measurement");
+    }
+    ~Folder() {
+        std::error_code ignored;
+        std::filesystem::remove_all(path, ignored);
+    }
+};
+
+// A connection of the measurement's own: what came is told a line at a time, its end once.
+struct Conn : LineConn::Owner {
+    std::unique_ptr<LineConn> line;
+    std::function<void(Conn&, std::string_view)> heard;
+    std::function<void(Conn&, How)> ended;
+    Instant since = Clock::now();
+    bool over = false;
+    int steps = 0;
+
+    Conn(struct ev_loop* loop, Fd fd, bool connecting, std::string_view first) {
+        line.reset(new LineConn(loop, std::move(fd), *this, 0));
+        line->start(connecting);
+        if (!first.empty()) line->send(first);
+    }
+    void bytes_came(LineConn&, std::string_view text, bool) override {
+        if (heard) heard(*this, text);
+    }
+    void conn_ended(LineConn&, How how) override {
+        over = true;
+        if (ended) ended(*this, how);
+    }
+};
+
+// One server that keeps and echoes whatever comes, clients, and a process that balances them.
+struct Bench {
+    struct ev_loop* loop = ev_loop_new(0);
+    standin::Block block{1};
+    std::string host = block.host(0), listen = host + ":8080", server_at = host + ":8081";
+    Folder folder;
+    Fd server;
+    std::list<Conn> at_server, clients;
+    ev_io accept{};
+    std::vector<double> answer_ms;
+    int asked = 0, ops_port = 10000;
+
+    Bench() {
+        std::string fault;
+        server = listen_on(*Address::from(server_at), fault);
+        if (!server) throw std::runtime_error("no server: " + fault);
+        ev_io_init(
+            &accept, [](struct ev_loop*, ev_io* w, int) { static_cast<Bench*>(w->data)->accept_some(); },
+            server.get(), EV_READ);
+        accept.data = this;
+        ev_io_start(loop, &accept);
+    }
+    ~Bench() {
+        at_server.clear(), clients.clear();
+        ev_io_stop(loop, &accept);
+        ev_loop_destroy(loop);
+    }
+    void accept_some() {
+        for (;;) {
+            Fd fd(accept4(server.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+            if (!fd) return;
+            send_at_once(fd.get());
+            Conn& c = at_server.emplace_back(loop, std::move(fd), false, "");
+            c.heard = [](Conn& self, std::string_view text) {
+                self.line->send(text.substr(0, 5) == "OPEN " ? "UP r\r\n" : text);
+            };
+        }
+    }
+    std::string config(const std::string& ops) const {
+        return R"({"name":"n","listen":")" + listen + R"(","ops":")" + ops + R"(","discovery":")" + host +
+               R"(:8500","seed":"1f","limits":{"sockets":1024,"memory_mb":192},"known":{"generation":1,"reset":true,
+            "instances":[{"instanceId":"s","hostPort":")" +
+               server_at + R"(","zone":"a","lifecycle":"SERVING"}]},"settings":{"discovery":"push",
+            "failureDomains":["a"],"ceilings":{"maxLegs":2,"dialTimeoutNs":150000000},"invariants":{"coldNs":0},
+            "trafficTypes":[{"name":"chat","effect":"pure","setupTargetNs":800000000,"guardTimeNs":3000000000}]}})";
+    }
+    Conn& client(std::string_view first) { return client(listen, first); }
+    Conn& client(const std::string& at, std::string_view first) {
+        return clients.emplace_back(loop, connect_to(*Address::from(at)), true, first);
+    }
+    void ask(const std::string& ops, const char* call) {
+        ++asked;
+        Conn& c = client(ops, std::string(call) + "\r\n");
+        c.heard = [this](Conn& self, std::string_view text) {
+            if (text == "done\r\n" || text == "end\r\n")
+                answer_ms.push_back(in_seconds(Clock::now() - self.since) * 1000);
+        };
+    }
+    void turn() { ev_run(loop, EVRUN_NOWAIT); }
+    void tidy() {
+        for (std::list<Conn>* all : {&clients, &at_server})
+            all->remove_if([](const Conn& c) { return c.over; });
+    }
+    // Until the process says that it takes clients.
+    bool takes_clients(const std::string& ops, Span patience) {
+        const Instant until = Clock::now() + patience;
+        bool yes = false;
+        for (Instant next{}; !yes && Clock::now() < until;) {
+            if (Clock::now() >= next) {
+                Conn& c = client(ops, "STATUS\r\n");
+                c.heard = [&yes](Conn&, std::string_view text) { yes = yes || text == "done\r\n"; };
+                next = Clock::now() + millis(10);
+            }
+            turn(), usleep(200);
+        }
+        clients.remove_if([](const Conn& c) { return c.steps == 0; });  // the askers: `yes` goes
+        return yes;
+    }
+};
+
+void on_one_core(pid_t pid) {
+    cpu_set_t one;
+    CPU_ZERO(&one);
+    CPU_SET(0, &one);
+    sched_setaffinity(pid, sizeof one, &one);
+}
+
+std::string json(const char* measure, bool ok, bool quick) {
+    return std::string(R"({"measure":")") + measure + R"(","ok":)" + (ok ? "true" : "false") +
+           R"(,"quick":)" + (quick ? "true" : "false");
+}
+
+}  // namespace
+
+int ops_answers(const Measuring& m) {
+    standin::raise_descriptors();
+    Bench b;
+    const std::string ops = b.host + ":10250";
+    Child balancer(m.program, b.folder.path, "n", "");
+    balancer.start(b.config(ops));
+    on_one_core(balancer.pid());
+    if (!b.takes_clients(ops, seconds(5))) return std::printf("it does not start\n"), not_judged;
+    const Instant begun = Clock::now(), end = begun + seconds(m.quick ? 5 : 20);
+    uint64_t crowd = 0, cut = 0;
+    std::deque<Conn*> waiting;
+    for (Instant next = begun; Clock::now() < end;) {
+        if (m.stop && m.stop->load()) return not_judged;
+        if (Clock::now() >= next) {
+            b.ask(ops, b.asked % 2 ? "METRICS" : "STATUS");
+            if (b.asked % 10 == 0) b.client(ops, "METR");  // who stays and holds a place
+            next = next + millis(25);
+        }
+        // As many as it takes in and cuts again: its core has no rest.
+        for (int k = 0; k < 40; ++k) {
+            Conn& c = b.client(k % 4 ? "" : "OPEN 01");
+            c.ended = [&cut](Conn&, How) { ++cut; };
+            ++crowd;
+        }
+        b.turn(), b.tidy();
+        while (b.clients.size() > 3000) b.clients.front().line->abort(), b.clients.pop_front();
+    }
+    for (const Instant last = Clock::now() + seconds(1); Clock::now() < last;) b.turn(), usleep(200);
+    balancer.kill();
+    const double took = in_seconds(Clock::now() - begun), busy = balancer.cpu_seconds() / took;
+    const double worst = b.answer_ms.empty() ? 0 : *std::max_element(b.answer_ms.begin(), b.answer_ms.end());
+    const size_t answered = b.answer_ms.size();
+    const bool ok = answered == static_cast<size_t>(b.asked) && worst < 1000 && busy > 0.8;
+    std::printf("%" PRIu64
+                " connections that never finish in %.0f s, %.0f%% of one core; %d calls, %zu answered\n",
+                crowd, took, busy * 100, b.asked, answered);
+    std::printf("answers in ms: median %.1f, 99th percentile %.1f, latest %.1f\n", quantile(b.answer_ms, 0.5),
+                quantile(b.answer_ms, 0.99), worst);
+    std::printf(
+        "%s,\"asked\":%d,\"answered\":%zu,\"p50_ms\":%.2f,\"p99_ms\":%.2f,\"max_ms\":%.2f,\"core\":%.2f}\n",
+        json("ops-answers", ok, m.quick).c_str(), b.asked, answered, quantile(b.answer_ms, 0.5),
+        quantile(b.answer_ms, 0.99), worst, busy);
+    return ok ? 0 : busy > 0.8 ? failed : not_judged;
+}
+
+int upgrade(const Measuring& m) {
+    standin::raise_descriptors();
+    Bench b;
+    const int rounds = m.quick ? 3 : 20, stand = 200;
+    const auto ops = [&](int round) { return b.host + ":" + std::to_string(10300 + round); };
+    std::deque<std::unique_ptr<Child>> lives;
+    const auto start = [&](int round) {
+        lives.push_back(std::make_unique<Child>(m.program, b.folder.path, "n" + std::to_string(round), ""));
+        lives.back()->start(b.config(ops(round)));
+        return b.takes_clients(ops(round), seconds(5));
+    };
+    if (!start(0)) return std::printf("it does not start\n"), not_judged;
+
+    // Each of those that stand says the next word when the last one has come back.
+    double worst_gap_ms = 0;
+    int up = 0, lost = 0;
+    std::list<Conn> standing;
+    for (int k = 0; k < stand; ++k) {
+        char line[80];
+        std::snprintf(line, sizeof line, "OPEN %016x 2b c=chat,d=2900\r\n", k + 1);
+        Conn& c = standing.emplace_back(b.loop, connect_to(*Address::from(b.listen)), true, line);
+        c.heard = [&](Conn& self, std::string_view text) {
+            if (text == "UP r\r\n") ++up;
+            const double gap = in_seconds(Clock::now() - self.since) * 1000;
+            if (self.steps++ > 0) worst_gap_ms = std::max(worst_gap_ms, gap);
+            self.since = Clock::now();
+            self.line->send("word\r\n");
+        };
+        c.ended = [&](Conn&, How) { ++lost; };
+    }
+    for (const Instant until = Clock::now() + seconds(3); up < stand && Clock::now() < until;) b.turn();
+    if (up < stand) return std::printf("%d of %d came up\n", up, stand), not_judged;
+    worst_gap_ms = 0;
+
+    int64_t heard = 0, unheard = 0, came = 0;
+    std::vector<double> leaving_ms;
+    bool fine = true;
+    const auto come = [&] {
+        Conn& c = b.client("PING\r\n");
+        c.steps = 1;
+        ++came;
+        c.heard = [&](Conn& self, std::string_view) { ++heard, self.over = true; };
+        c.ended = [&](Conn&, How) { ++unheard; };
+    };
+    for (int round = 1; fine && round <= rounds; ++round) {
+        if (m.stop && m.stop->load()) return not_judged;
+        const Instant until = Clock::now() + millis(300);
+        lives.push_back(std::make_unique<Child>(m.program, b.folder.path, "n" + std::to_string(round), ""));
+        lives.back()->start(b.config(ops(round)));
+        while (Clock::now() < until) come(), b.turn(), b.tidy(), usleep(300);
+        fine = b.takes_clients(ops(round), seconds(5));
+        const Instant told = Clock::now();
+        lives.front()->ask_to_leave();
+        while (lives.front()->runs() && Clock::now() - told < seconds(4))
+            b.turn(), lives.front()->ends_within(millis(1));
+        fine = fine && !lives.front()->runs();
+        leaving_ms.push_back(in_seconds(Clock::now() - told) * 1000);
+        lives.pop_front();
+    }
+    for (const Instant last = Clock::now() + millis(500); Clock::now() < last;)
+        b.turn(), b.tidy(), usleep(300);
+    standing.clear();
+    unheard += came - heard - unheard;
+    const bool ok = fine && unheard == 0 && lost == 0 && worst_gap_ms < 1000;
+    std::printf("%d upgrades, %d connections standing: %d lost or moved, longest wait for a line %.1f ms\n",
+                rounds, stand, lost, worst_gap_ms);
+    std::printf("%" PRId64 " connected meanwhile, %" PRId64
+                " unheard; old process gone after %.0f ms (median), %.0f (latest)\n",
+                came, unheard, quantile(leaving_ms, 0.5), quantile(leaving_ms, 1));
+    std::printf("%s,\"upgrades\":%d,\"standing\":%d,\"lost\":%d,\"worst_gap_ms\":%.2f,\"connected\":%" PRId64
+                ",\"unheard\":%" PRId64 ",\"gone_ms\":%.1f}\n",
+                json("upgrade", ok, m.quick).c_str(), rounds, stand, lost, worst_gap_ms, came, unheard,
+                quantile(leaving_ms, 0.5));
+    return ok ? 0 : failed;
+}
+
+}  // namespace headrouter::lab
--- a/src/lab/measures.cpp
+++ b/src/lab/measures.cpp
@@ -18,6 +18,7 @@
 #include "capture/recorder.h"
 #include "capture/replay.h"
 #include "lab/experiment.h"
+#include "lab/measure_ops.h"
 #include "lab/runner.h"
 #include "lab/sockets_run.h"
 #include "lab/statistics.h"
@@ -496,7 +497,8 @@
 }  // namespace
 
 std::vector<std::string> measure_names() {
-    return {"model-speed", "model-fit", "baselines", "capture-cost", "replay-speed"};
+    return {"model-speed",  "model-fit",   "baselines", "capture-cost",
+            "replay-speed", "ops-answers", "upgrade"};
 }
 
 int measure(const std::string& name, const Measuring& m) {
@@ -504,6 +506,8 @@
     if (name == "model-fit") return model_fit(m);
     if (name == "capture-cost") return capture_cost(m);
     if (name == "replay-speed") return replay_speed(m);
+    if (name == "ops-answers") return ops_answers(m);
+    if (name == "upgrade") return upgrade(m);
     return baselines(m);
 }
 
--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -227,6 +227,7 @@
 }
 
 std::string Balancer::status() const {
+    if (exchange_.figures().discovered == 0) return "error no server is known yet\r\n";
     return started_ && !leaving_ && !passed_on_ ? "done\r\n" : "error this process takes no clients\r\n";
 }
 
