Retry-After of a discovery that turns away is kept, with as much again by chance

Seen: the answer's header was never read (discovery.cpp parsed the body only), so a service that says when to come back was asked at times of the balancer's own. Change: whole seconds, at most 30 s, each balancer waits between once and twice that; a date or anything else is left alone and the own pauses hold. Rejected: the advice to the second for all, as all that were turned away together would come back together.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,14 +1,16 @@
 #include "net/discovery.h"
 
+#include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 
 namespace headrouter {
 
 namespace {
-constexpr size_t longest_body = 16 << 20;
+constexpr size_t longest_body = 16 << 20, longest_field = 32;
 }  // namespace
 
 Discovery::Discovery(struct ev_loop* loop, Address address, std::string host, const Told& names,
@@ -64,7 +66,7 @@
 void Discovery::ask() {
     asking_ = true;
     answered_ = false;
-    body_.clear();
+    body_.clear(), field_.clear(), retry_after_.clear();
     out_ = "GET /v1/servers";
     if (has_list_)
         out_ += "?since=" + std::to_string(version_) +
@@ -80,13 +82,13 @@
     wait_for((has_list_ ? pace_.watch() : Span{}) + pace_.patience());
 }
 
-void Discovery::failed(const char* why, ListPace::Fault fault) {
+void Discovery::failed(const char* why, ListPace::Fault fault, Span advised) {
     asking_ = false;
     counters_.add(Count::list_calls_failed);
     if (!was_down_) log_.warning() << "discovery: " << why;
     was_down_ = true;
     drop();
-    wait_for(pace_.pause(fault));
+    wait_for(pace_.pause(fault, advised));
 }
 
 void Discovery::on_io(int events) {
@@ -113,6 +115,22 @@
             body.append(bytes, n);
             return body.size() > longest_body ? 1 : 0;
         };
+        // Pieces of a name, then pieces of its value; a name that begins anew is another header's.
+        h.on_header_field = [](http_parser* p, const char* bytes, size_t n) {
+            auto& self = *static_cast<Discovery*>(p->data);
+            if (self.in_value_) self.field_.clear();
+            self.in_value_ = false;
+            if (self.field_.size() < longest_field) self.field_.append(bytes, std::min(n, longest_field));
+            return 0;
+        };
+        h.on_header_value = [](http_parser* p, const char* bytes, size_t n) {
+            auto& self = *static_cast<Discovery*>(p->data);
+            self.in_value_ = true;
+            if (strcasecmp(self.field_.c_str(), "retry-after") == 0 &&
+                self.retry_after_.size() < longest_field)
+                self.retry_after_.append(bytes, std::min(n, longest_field));
+            return 0;
+        };
         h.on_message_complete = [](http_parser* p) {
             static_cast<Discovery*>(p->data)->answered_ = true;
             http_parser_pause(p, 1);  // what follows belongs to no call of ours
@@ -131,10 +149,19 @@
     if (parsed != static_cast<size_t>(n)) return failed("what came is not HTTP");
 }
 
+// In whole seconds; a date is left alone, as it counts on clocks that agree.
+Span Discovery::advice() const {
+    unsigned seconds_long = 0;
+    const char* const last = retry_after_.data() + retry_after_.size();
+    const auto [end, fault] = std::from_chars(retry_after_.data(), last, seconds_long);
+    return fault == std::errc() && end == last ? seconds(seconds_long) : Span{};
+}
+
 void Discovery::take_answer() {
     asking_ = false;
     const bool goes_on = http_should_keep_alive(&parser_);
-    if (parser_.status_code != 200) return failed("the answer is not 200", ListPace::Fault::turned_away);
+    if (parser_.status_code != 200)
+        return failed("the answer is not 200", ListPace::Fault::turned_away, advice());
     ListNews news;
     try {
         news = read_news(body_, names_, clock_);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -29,7 +29,8 @@
     void on_io(int events);
     void read_some();
     void take_answer();
-    void failed(const char* why, ListPace::Fault = ListPace::Fault::unreachable);
+    void failed(const char* why, ListPace::Fault = ListPace::Fault::unreachable, Span advised = {});
+    Span advice() const;
     void drop();
     void wait_for(Span);
 
@@ -45,8 +46,8 @@
     ev_io io_{};
     ev_timer timer_{};
     http_parser parser_{};
-    std::string out_, body_;
-    bool asking_ = false, answered_ = false, has_list_ = false, was_down_ = false;
+    std::string out_, body_, field_, retry_after_;
+    bool in_value_ = false, asking_ = false, answered_ = false, has_list_ = false, was_down_ = false;
     int64_t version_ = 0;
     ListPace pace_;
 };
--- a/src/net/list_pace.cpp
+++ b/src/net/list_pace.cpp
@@ -24,6 +24,8 @@
 constexpr double away_longest = 4;
 // The least part of a pause: the rest is by chance, or all that failed together would come back together.
 constexpr double least_part = 0.35;
+// A list that old would be of no use; whoever advises more is taken to mean this.
+constexpr Span longest_advice = seconds(30);
 }  // namespace
 
 ListPace::ListPace(bool shared, Span expected, uint64_t seed)
@@ -38,7 +40,11 @@
     turned_away_ = {turn * away_pause, turn * away_longest, turn * away_pause};
 }
 
-Span ListPace::pause(Fault fault) {
+// All that were turned away together were told the same: what they are told is the least, and up to as much
+// again is by chance.
+Span ListPace::pause(Fault fault, Span advised) {
+    if (fault == Fault::turned_away && advised.ns > 0)
+        return std::min(advised, longest_advice) * (1 + chance_.uniform());
     Steps& steps = fault == Fault::turned_away ? turned_away_ : unreachable_;
     const Span whole = steps.next;
     steps.next = std::min(whole * 2, steps.longest);
--- a/src/net/list_pace.h
+++ b/src/net/list_pace.h
@@ -17,7 +17,8 @@
 
     Span watch() const { return watch_; }
     Span patience() const { return patience_; }  // beyond a watch's own time
-    Span pause(Fault);                           // before the next call, longer each time
+    // Before the next call, longer each time; `advised`: by who turned it away, zero where nobody did.
+    Span pause(Fault, Span advised = {});
     void answered();
 
    private:
--- a/tests/net/test_list_pace.cpp
+++ b/tests/net/test_list_pace.cpp
@@ -70,3 +70,15 @@
     for (int k = 0; k < 9; ++k) own.pause(Fault::unreachable);
     assert(own.pause(Fault::unreachable) == millis(500));
 }};
+
+static const Case advice_is_the_least_and_spread_by_as_much_again{[] {
+    ListPace a(true, seconds(10), 1), b(true, seconds(10), 2);
+    Span least = seconds(100), most;
+    for (int k = 0; k < 100; ++k)
+        for (ListPace* p : {&a, &b}) {
+            const Span pause = p->pause(ListPace::Fault::turned_away, seconds(4));
+            least = std::min(least, pause), most = std::max(most, pause);
+        }
+    assert(least >= seconds(4) && least < seconds(4.4) && most > seconds(7.6) && most <= seconds(8));
+    assert(a.pause(ListPace::Fault::turned_away, seconds(1e6)) <= seconds(60));
+}};
--- a/tests/net/test_sockets.cpp
+++ b/tests/net/test_sockets.cpp
@@ -354,6 +354,26 @@
     assert(w.says(again, "GET /v1/servers?since=1&timeout_ms=8000 HTTP/1.1\r\n"));
 }};
 
+// What it advises is kept, by each balancer with some time of its own; what is no number is not.
+static const Case advice_of_a_discovery_that_turns_away_is_kept{[] {
+    for (const auto& [header, least, most] : {std::tuple{"Retry-After: 1\r\n", 0.95, 2.1},
+                                              {"retry-after: Fri, 31 Dec 1999 23:59:59 GMT\r\n", 0.0, 0.6},
+                                              {"Retry-After: -7\r\n", 0.0, 0.6}}) {
+        World w;
+        assert(w.says(w.discovery, "GET /v1/servers"));
+        w.discovery.write("HTTP/1.1 503 Busy\r\nX-A: 9\r\nRe");
+        w.turn(0.02);
+        w.discovery.write(std::string(header).substr(2) + "Content-Length: 0\r\nConnection: close\r\n\r\n");
+        assert(w.ends(w.discovery));
+        const Instant begun = Clock::now();
+        w.turn(least);
+        Peer again = w.agent.accept();
+        assert(!again.fd || least == 0.0);
+        while (!again.fd && Clock::now() - begun < seconds(most)) w.turn(0.01), again = w.agent.accept();
+        assert(again.fd);
+    }
+}};
+
 static std::string whole_list(int version, const std::string& id, const std::string& at) {
     return R"({"generation":)" + std::to_string(version) + R"(,"reset":true,"instances":[{"instanceId":")" +
            id + R"(","hostPort":")" + at + R"(","zone":"a","lifecycle":"SERVING"}]})";
