A new process starts though the old one hangs with its queue of callers full

Seen: a test that stops the old process (SIGSTOP) and fills its Unix socket's queue never got a yes: Heir::ask (succession.cpp) connected with a blocking socket, which waits there without end. Now the socket does not block; the steps after it were bounded already. Ruled out: the other steps (each polls for half a second at most). Test: the queue full, then a caller that gets in and hears nothing; before the fix the new process hung. A test that fails kills its processes with it (PR_SET_PDEATHSIG): those left over kept the output open, so that the caller waited on.

--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -122,7 +122,9 @@
 std::unique_ptr<Heir> Heir::ask(const std::string& path, Log& log) {
     const auto address = unix_address(path);
     if (!address) return nullptr;
-    Fd channel(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+    // Where the other side's queue is full, a connect that blocks would wait for a process that may never
+    // wake.
+    Fd channel(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
     if (!channel ||
         connect(channel.get(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0)
         return nullptr;  // nobody there, or a socket that a killed process left
--- a/tests/net/test_upgrade.cpp
+++ b/tests/net/test_upgrade.cpp
@@ -1,5 +1,6 @@
 // A second process beside the running one, as operators start it: real processes, with the test as their
 // clients, servers and discovery.
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/un.h>
 #include <sys/wait.h>
@@ -52,6 +53,7 @@
     pid_t spawn(const char* tmpdir) {
         const pid_t child = fork();
         if (child == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that fails leaves nobody behind
             setenv("PROXY_CONFIG", config().c_str(), 1);
             tmpdir&&* tmpdir ? setenv("TMPDIR", tmpdir, 1) : unsetenv("TMPDIR");
             std::string serve = "serve", level = "--log=error", name = "headrouter";
@@ -232,6 +234,28 @@
     }
 }};
 
+// Stopped, or stuck: it takes nobody in, and its queue of callers is full.
+static const Case an_old_process_that_hangs_does_not_hold_up_the_new_one{[] {
+    Site w;
+    const auto old = w.start();
+    kill(old.pid, SIGSTOP);
+    std::vector<Peer> callers;
+    for (int k = 0; k < 8; ++k) {
+        callers.push_back({Fd(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)), {}});
+        sockaddr_un a{};
+        a.sun_family = AF_UNIX;
+        std::copy(w.meeting.begin(), w.meeting.end(), a.sun_path);
+        connect(callers.back().fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a);
+    }
+    const auto next = w.start();
+    assert(w.ask(next, "STATUS") == "done\r\n");
+    callers.clear();
+    kill(next.pid, SIGKILL);
+    waitpid(next.pid, nullptr, 0);
+    const auto last = w.start();  // this one gets into the queue, and hears nothing
+    assert(w.ask(last, "STATUS") == "done\r\n");
+}};
+
 static const Case another_program_gets_the_listener_and_the_old_clients_are_moved{[] {
     Site w;
     const auto old = w.start();
