Test: two processes of different programs share the descriptors

The test speaks the running process's part: it gives the listener alone, tells that it holds 390 of 400 descriptors, and goes. The new one answers BUSY in between, keeps what stands, and serves again afterwards. The door and the listener's message are now shared with the test of garbled states.

--- a/tests/net/test_upgrade.cpp
+++ b/tests/net/test_upgrade.cpp
@@ -116,6 +116,37 @@
         p.write("headrouter 1 " + layout);
         return p;
     }
+    // And one that speaks the running process's part: where the next one asks, and what it gets first.
+    Fd door() {
+        unlink(meeting.c_str());
+        sockaddr_un a{};
+        a.sun_family = AF_UNIX;
+        std::copy(meeting.begin(), meeting.end(), a.sun_path);
+        Fd fd(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+        assert(bind(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+        assert(::listen(fd.get(), 1) == 0);
+        return fd;
+    }
+    Peer heir_at(const Fd& door) {
+        Peer heir;
+        assert(until([&] {
+            heir.fd = Fd(accept4(door.get(), nullptr, nullptr, SOCK_CLOEXEC));
+            return bool(heir.fd);
+        }));
+        std::string fault;
+        const Fd listener = listen_on(*Address::from(listen), fault, true);
+        char control[CMSG_SPACE(sizeof(int))] = {}, word = 'd';
+        iovec part{&word, 1};
+        msghdr message{};
+        message.msg_iov = &part, message.msg_iovlen = 1;
+        message.msg_control = control, message.msg_controllen = sizeof control;
+        cmsghdr* c = CMSG_FIRSTHDR(&message);
+        c->cmsg_level = SOL_SOCKET, c->cmsg_type = SCM_RIGHTS, c->cmsg_len = CMSG_LEN(sizeof(int));
+        const int fd = listener.get();
+        std::copy_n(reinterpret_cast<const char*>(&fd), sizeof fd, CMSG_DATA(c));
+        assert(sendmsg(heir.fd.get(), &message, 0) == 1);
+        return heir;
+    }
 };
 
 static const Case a_new_process_takes_over_whatever_the_old_one_was_in_the_middle_of{[] {
@@ -205,27 +236,9 @@
     flipped[state.size() / 2] = char(flipped[state.size() / 2] ^ 1);
     other[8] = char(other[8] ^ 1);  // of the program's name
     for (const std::string& bad : {state.substr(0, 400), std::string(), flipped, other, state}) {
-        unlink(w.meeting.c_str());
-        sockaddr_un a{};
-        a.sun_family = AF_UNIX;
-        std::copy(w.meeting.begin(), w.meeting.end(), a.sun_path);
-        Fd door(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
-        assert(bind(door.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
-        assert(listen(door.get(), 1) == 0);
+        const Fd door = w.door();
         const auto next = w.launch();
-        Peer heir{Fd(accept4(door.get(), nullptr, nullptr, SOCK_CLOEXEC)), {}};
-        std::string fault;
-        const Fd listener = listen_on(*Address::from(w.listen), fault, true);
-        char control[CMSG_SPACE(sizeof(int))] = {}, word = 'd';
-        iovec part{&word, 1};
-        msghdr message{};
-        message.msg_iov = &part, message.msg_iovlen = 1;
-        message.msg_control = control, message.msg_controllen = sizeof control;
-        cmsghdr* c = CMSG_FIRSTHDR(&message);
-        c->cmsg_level = SOL_SOCKET, c->cmsg_type = SCM_RIGHTS, c->cmsg_len = CMSG_LEN(sizeof(int));
-        const int fd = listener.get();
-        std::copy_n(reinterpret_cast<const char*>(&fd), sizeof fd, CMSG_DATA(c));
-        assert(sendmsg(heir.fd.get(), &message, 0) == 1);
+        Peer heir = w.heir_at(door);
         heir.write("p" + bad), heir.write("w");  // and no descriptor of any call
         assert(w.until([&] { return heir.read(), heir.ended || heir.broke; }));
         assert(w.until([&] { return w.ask(next, "STATUS") == "done\r\n"; }));
@@ -275,6 +288,25 @@
     assert(w.exits(old.pid, status) && WIFEXITED(status) && WEXITSTATUS(status) == 0);
 }};
 
+static const Case two_processes_share_the_descriptors{[] {
+    Site w;
+    const Fd door = w.door();
+    const auto next = w.launch();
+    Peer old = w.heir_at(door);
+    old.write("o");
+    assert(w.says(old, "t"));
+    old.write("y");
+    assert(w.until([&] { return w.ask(next, "STATUS") == "done\r\n"; }));
+    auto pair = w.standing();
+    old.write("h390"), w.turn(0.1);  // of 400
+    Peer refused = w.client();
+    assert(w.says(refused, "BUSY"));
+    w.carries(pair, "on\r\n");
+    old.fd.close(), w.turn(0.1);  // gone: all are free again
+    auto other = w.standing();
+    w.carries(other, "on\r\n");
+}};
+
 static const Case a_bad_second_start_leaves_the_first_alone{[] {
     Site w;
     const auto old = w.start();
