A dear crossing takes more of another zone's weight; cheap ones as before

Cause: at chag a crossing costs ten points in a hundred, and another building's server kept a fifth of its weight.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -48,7 +48,7 @@
 // counts in the shares for that after a term.
 constexpr double cold_part = 2, weight_kept = 0.9;
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
-constexpr double far_cost = 8, least_far = 0.2;
+constexpr double far_cost = 8, far_cost_dear = 15, least_far = 0.02;
 // Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
 constexpr double heard_least = 1;
 // How many servers, and which part of those heard of, are much of the fleet when they are slow: one or two of
@@ -900,7 +900,7 @@
 // zone.
 void Brain::weigh(Server& s) {
     s.weight = plain_weight(s);
-    if (s.listed.zone != told_.zone) s.weight *= std::max(least_far, 1 - told_.cross_price * far_cost);
+    if (s.listed.zone != told_.zone) s.weight *= std::max(least_far, 1 - (far_cost + far_cost_dear * told_.cross_price) * told_.cross_price);
 }
 
 void Brain::begin_warm_up(Instant from, Server& s) {
