Balancers pool their counts and tell where groups stand, where messages are allowed

Change: a round twice a term, one balancer by the clock sums digests and tells the sum (servers over 1.5 of the mean); a group's room is 3 pooled shares and 4 connections, fading to the own count; whoever first places a group beyond its first choice tells all. The cold budget follows the stated fall multiple (2/3 of it, as before at 3).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -7,6 +7,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "base/hash.h"
+#include "peers/peer_bytes.h"
 
 namespace headrouter {
 namespace {
@@ -44,9 +48,9 @@
 constexpr double group_slack = 1.25, group_room = 2, group_spread = 1.3;
 // Pairs of connections that a balancer sees before it believes how often two are in one group.
 constexpr double pairs_believed = 40;
-// Rule 4: the part of its warming share that a balancer sends a cold server, and what a lost server still
-// counts in the shares for that after a term.
-constexpr double cold_part = 2, weight_kept = 0.9;
+// Rule 4: the part of what makes a cold server fall, by its warming share, that a balancer sends it, and what
+// a lost server still counts in the shares for that after a term.
+constexpr double cold_part = 2.0 / 3, weight_kept = 0.9;
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
 constexpr double far_cost = 8, far_cost_dear = 15, least_far = 0.02;
 // Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
@@ -60,15 +64,25 @@
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
 constexpr Span first_ask_pause = millis(300), longest_ask_pause = seconds(2);
 
-enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again };
+// Of the mean load from which a sum names a server.
+constexpr double told_over = 1.5;
+// Pooled counts: two rounds a term, within the first part of a second of each; how far over its share and by
+// how many connections a server may go for a group where all balancers' are known. Holders of groups are
+// told soon, since crowds come back within a second, and again now and then.
+constexpr Span round_time = seconds(5), digests_within = seconds(0.1), sum_after = seconds(0.25);
+constexpr double pool_slack = 3, pool_room = 4;
+constexpr double rounds_trusted = 2, rounds_faded = 6;
+constexpr double sum_doubted = 1.5;  // how far from what was known one sum may lead
+constexpr double most_scaled = 2;    // a sum over less than half of the balancers says little
+constexpr Span holder_kept = seconds(120), holder_again = seconds(60), holder_within = seconds(0.05);
+
+enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again, rounds, sum, tell };
 
 // A list may name a server without weight; it still counts for something, so that shares stay finite.
 double plain_weight(const Server& s) { return std::max(s.listed.weight, 1e-3); }
 
-uint64_t hash_of(const std::string& text) {
-    uint64_t h = 1469598103934665603ULL;
-    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-    return h ^ h >> 29;
+uint32_t short_hash(const std::string& group) {
+    return static_cast<uint32_t>(hash_of(group) % peers::group_names);
 }
 
 }  // namespace
@@ -89,6 +103,9 @@
 void Brain::told_again(Deployment told) {
     told.slot = told_.slot;  // what was drawn from it stands
     told_ = std::move(told);
+    told_.tells_peers = told_.tells_peers && told_.slot < static_cast<uint64_t>(told_.balancers);
+    if (told_.tells_peers && !round_timer_) out_.set_timer(Instant{}, rounds);
+    round_timer_ = told_.tells_peers;
     type_load_.resize(told_.types.size());
     type_seen_.resize(told_.types.size());
     shortest_message_ = seconds(1000);
@@ -168,6 +185,10 @@
     const auto held = groups_.find(call.group);
     int members = 0;
     call.chosen = -1;
+    for (const auto& h : holders_.of(short_hash(call.group)))  // as peers told
+        if (room.now - h.at < holder_kept && has_room(room, h.server, true) &&
+            (call.chosen < 0 || draw.at[h.server] < draw.at[call.chosen]))
+            call.chosen = h.server;
     if (held != groups_.end())
         for (const auto& [k, n] : held->second) {
             members += n;
@@ -189,7 +210,7 @@
         slow_at_home += is_slow(room, k);
         if (!has_room(room, k, true)) continue;
         if (call.group.empty()) return void(call.chosen = k);
-        if (call.chosen < 0 || own_rank(k) < own_rank(call.chosen)) call.chosen = k;
+        if (call.chosen < 0 || (!told_.tells_peers && own_rank(k) < own_rank(call.chosen))) call.chosen = k;
     }
     if (call.chosen >= 0) return void(call.chosen = seems_slow(room, call.chosen) ? -1 : call.chosen);
     // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
@@ -231,7 +252,16 @@
     if (!is_open(room, k) || is_slow(room, k)) return false;
     if (room.back_from >= 0) return k != room.back_from;
     const double share = share_of(room.fleet, k), load = load_on(servers_[k]);
-    if (grouped) return load + room.load <= share * group_slack + group_room * std::max(1.0, room.load);
+    const double spare = std::max(1.0, room.load), trust_pool = grouped ? pool_trust(room.now) : 0;
+    if (trust_pool > 0) {
+        const Server& s = servers_[k];
+        const double own = (load + room.load - group_room * spare) / std::max(share * group_slack, 1e-9);
+        const double pooled_share = share / std::max(room.fleet.total, 1e-9) * pool_total_;
+        const double pooled = s.pooled + load - s.own_then + room.load - pool_room * spare;
+        const double all = pooled / std::max(pooled_share * pool_slack, 1e-9);
+        return trust_pool * all + (1 - trust_pool) * std::min(own, 2.0) <= 1;
+    }
+    if (grouped) return load + room.load <= share * group_slack + group_room * spare;
     return load + servers_[k].draw * room.load <= share;
 }
 
@@ -375,7 +405,7 @@
 bool Brain::cold_budget_left(Instant now, const Server& s, double load, double total) const {
     if (!cold(now, s)) return true;
     const double part = plain_weight(s) / usual_weight_;  // all zones alike, as its budget is one for all
-    const double budget = total * part * ramp(now, s) * cold_part;
+    const double budget = total * part * ramp(now, s) * cold_part * told_.fall_multiple;
     return s.cold_sent + load * (1 - s.cold_chance) <= budget;
 }
 
@@ -558,6 +588,7 @@
     kept.legs.push_back(Leg{index_.at(server), now, false, true});
     kept.may_have_run = 0;
     count(servers_[kept.legs[0].server], kept);
+    if (told_.tells_peers && !kept.group.empty()) note_placed(now, kept.group, kept.legs[0].server);
 }
 
 void Brain::call_gone(Instant, CallId id) {
@@ -586,16 +617,16 @@
     s.skip_until = Instant{};
     s.distrust = std::max(0.0, distrust(now, s) - points_forgiven);
     s.distrust_at = now;
+    if (told_.tells_peers && !it->second.group.empty()) note_placed(now, it->second.group, leg.server);
 }
 
 void Brain::leg_ended(Instant now, CallId id, int n, Ending ending, Span took, bool final,
-                      const LoadReport& report) {
+                      const LoadReport&) {
     const auto it = calls_.find(id);
     if (it == calls_.end() || n < 0 || n >= static_cast<int>(it->second.legs.size())) return;
     Call& call = it->second;
     Leg& leg = call.legs[n];
     Server& s = servers_[leg.server];
-    absorb(now, s, report);
     if (!leg.out && !leg.standing) return;
     if (leg.out) --s.setting_up;
     uncount(call);
@@ -712,24 +743,6 @@
     return load_in(all_) * s.weight / std::max(listed_weight_, 1e-9);
 }
 
-// Where servers report the load asked of them over what they can do, a ceiling need not wait for slow
-// messages, and goes again as soon as the report shows room.
-void Brain::absorb(Instant now, Server& s, const LoadReport& report) {
-    if (!report.load_share) return;
-    const double x = std::max(*report.load_share, 0.05), load = load_on(s);
-    const double fits = load * good_use / x;
-    if (x > good_use) {
-        s.ceiling = std::min(bare_ceiling(now, s), fits);
-        s.mild = false;
-        s.ceiling_at = now;
-        note_unusual(s);
-    }
-}
-
-void Brain::probe_ended(Instant now, const ServerId& id, Ending, Span, const LoadReport& report) {
-    absorb(now, servers_[index_.at(id)], report);
-}
-
 // ---- terms (design 4 to 7) ----
 
 bool Brain::in_pause(Instant now) const { return now.ns % term_time.ns >= balance_time.ns; }
@@ -843,6 +856,137 @@
     return it != keys_.end() && now - it->second.at <= key_age_limit ? &it->second : nullptr;
 }
 
+// ---- what other balancers tell ----
+
+// The source's supernodes know all counts. Where messages are allowed, each balancer tells its counts once a
+// round to one, its number from the clock, and that one tells all the sum: two messages a balancer, and one
+// that is dead costs a round. Within a sum the largest count of a server counts as the next.
+int64_t Brain::round_at(Instant now) const { return (now + told_.wall_ahead).ns / round_time.ns; }
+
+Instant Brain::begin_of(int64_t round) const {
+    return Instant{round * round_time.ns} + (Span{} - told_.wall_ahead);
+}
+
+int Brain::summed_by(int64_t round) const { return static_cast<int>(round % told_.balancers); }
+
+void Brain::begin_round(Instant now) {
+    if (!(round_timer_ = told_.tells_peers)) return;
+    const int64_t round = round_at(now);
+    out_.set_timer(begin_of(round + 1) + digests_within * chance_.uniform(), rounds);
+    const int by = summed_by(round);
+    if (by == static_cast<int>(told_.slot)) return out_.set_timer(begin_of(round) + sum_after, sum);
+    out_.tell_peer(by, pack(peers::Kind::counts, round, 1, load_in(all_), own_counts()));
+}
+
+peers::Rows Brain::own_counts() const {
+    peers::Rows rows;
+    for (int k = 0; k < static_cast<int>(servers_.size()); ++k)
+        if (!servers_[k].standing.empty()) rows.emplace_back(k, load_on(servers_[k]));
+    return rows;
+}
+
+std::string Brain::pack(peers::Kind kind, int64_t round, size_t tellers, double total,
+                        const peers::Rows& rows) const {
+    std::vector<peers::Counted> counted;
+    for (const auto& [k, load] : rows)
+        counted.push_back({peers::ShortNames::of(servers_[k].listed.server), load});
+    return peers::pack_counts(kind, static_cast<uint32_t>(round % peers::rounds), tellers, total, counted);
+}
+
+void Brain::end_round(Instant now) {
+    const int64_t round = round_at(now);
+    tally_.add(round, static_cast<int>(told_.slot), told_.balancers, load_in(all_), own_counts());
+    const double total = tally_.total.sane();
+    // The others have what is left, by weight.
+    const peers::Rows rows = tally_.over(total / std::max(1, listed_active_) * told_over);
+    out_.tell_peer(everyone_else, pack(peers::Kind::sum, round, tally_.tellers(), total, rows));
+    take_sum(now, round, tally_.tellers(), total, rows);
+}
+
+void Brain::take_sum(Instant now, int64_t round, size_t tellers, double total, const peers::Rows& rows) {
+    const double scale = std::max(1.0, told_.balancers / static_cast<double>(tellers));
+    if (round <= last_round_ || scale > most_scaled) return;
+    last_round_ = round;
+    std::vector<double> told(servers_.size(), -1);
+    double rest = total, weights = plain_weight_;
+    for (const auto& [k, load] : rows) {
+        told[k] = load;
+        rest -= load;
+        if (servers_[k].listed.condition == Condition::active) weights -= plain_weight(servers_[k]);
+    }
+    // Nothing is believed from one alone: a sum may lead so far from what was known and no farther, the
+    // next sum has another sender. A balancer that holds nothing yet knows nothing to doubt it by.
+    const double known = pooled_at_.ns > 0 ? pool_total_ : load_in(all_) * told_.balancers / sum_doubted;
+    pool_total_ = std::max(total * scale, known / sum_doubted);
+    for (size_t k = 0; k < servers_.size(); ++k) {
+        Server& s = servers_[k];
+        const double part = pool_total_ * plain_weight(s) / std::max(plain_weight_, 1e-9);
+        const double x =
+            told[k] >= 0 ? told[k] : std::max(0.0, rest) * plain_weight(s) / std::max(weights, 1e-9);
+        s.pooled = std::min(x * scale, sum_doubted * std::max(s.pooled, part) + pool_room);
+        s.own_then = load_on(s);
+    }
+    pooled_at_ = now;
+}
+
+// Whole for two rounds, then less and less: what is not told again fades to the own counts.
+double Brain::pool_trust(Instant now) const {
+    if (!told_.tells_peers || pooled_at_.ns == 0) return 0;
+    const double rounds = (now - pooled_at_) / round_time;
+    return std::clamp((rounds_faded - rounds) / (rounds_faded - rounds_trusted), 0.0, 1.0);
+}
+
+bool Brain::peer_told(Instant now, int slot, const std::string& bytes) {
+    peers::Reader told;
+    const bool sane = told_.tells_peers && slot >= 0 && slot < told_.balancers &&
+                      slot != static_cast<int>(told_.slot) && told.read(bytes);
+    if (!sane) return false;
+    for (const peers::Held& h : told.held)
+        if (const int k = names_.find(h.server); k >= 0) holders_.at(h.group, k) = {k, now, false};
+    if (told.kind == peers::Kind::held) return true;
+    const int64_t here = round_at(now), half = peers::rounds / 2;
+    const int64_t round =
+        here + (told.round - here % peers::rounds + peers::rounds + half) % peers::rounds - half;
+    if (std::abs(round - here) > 1) return true;  // late, or another's clock
+    peers::Rows rows;
+    for (const peers::Counted& c : told.counted)
+        if (const int k = names_.find(c.server); k >= 0) rows.emplace_back(k, c.load);
+    if (told.kind == peers::Kind::counts && summed_by(round) == static_cast<int>(told_.slot))
+        tally_.add(round, slot, told_.balancers, told.total, rows);
+    if (told.kind == peers::Kind::sum && summed_by(round) == slot)
+        take_sum(now, round, told.tellers, told.total, rows);
+    return true;
+}
+
+// Where a group stands: a balancer with a handful of connections holds none of most groups, and would open
+// them once more. The first to place a member on a server tells all, soon but not at once, so that few tell
+// the same; of the first usable server of a group's draw nobody need be told, as all look there first.
+void Brain::note_placed(Instant now, const std::string& group, int server) {
+    peers::Holders::Holder& h = holders_.at(short_hash(group), server);
+    if (h.to_tell || now - h.at < holder_again) return;
+    h.at = now;
+    const std::vector<int>& order = draw_of(group).order;
+    const auto first =
+        std::find_if(order.begin(), order.end(), [&](int k) { return usable(now, servers_[k]); });
+    if (first != order.end() && *first == server) return;
+    h.to_tell = true;
+    to_tell_.emplace_back(short_hash(group), server);
+    if (!std::exchange(tell_timer_, true)) out_.set_timer(now + holder_within * chance_.uniform(), tell);
+}
+
+void Brain::tell_holders() {
+    tell_timer_ = false;
+    std::vector<peers::Held> rows;
+    for (const auto& [group, server] : std::exchange(to_tell_, {}))
+        if (std::exchange(holders_.at(group, server).to_tell, false))
+            rows.push_back({group, peers::ShortNames::of(servers_[server].listed.server)});
+    for (size_t from = 0; from < rows.size(); from += peers::most_held) {
+        const auto begin = rows.begin() + static_cast<ptrdiff_t>(from);
+        const auto some = static_cast<ptrdiff_t>(std::min(rows.size() - from, peers::most_held));
+        out_.tell_peer(everyone_else, peers::pack_held({begin, begin + some}));
+    }
+}
+
 // ---- the list ----
 
 void Brain::ask_list(Instant now) {
@@ -882,6 +1026,7 @@
         servers_.back().listed = entry;
         servers_.back().named_in = lists_;
         weigh(servers_.back());
+        names_.add(entry.server, it->second);
         servers_.back().draw = -std::log(Pcg32(told_.slot, hash_of(entry.server)).uniform());
         if (entry.launched) begin_warm_up(*entry.launched, servers_.back());
         return;
@@ -900,7 +1045,9 @@
 // zone.
 void Brain::weigh(Server& s) {
     s.weight = plain_weight(s);
-    if (s.listed.zone != told_.zone) s.weight *= std::max(least_far, 1 - (far_cost + far_cost_dear * told_.cross_price) * told_.cross_price);
+    if (s.listed.zone == told_.zone) return;
+    const double price = told_.cross_price;
+    s.weight *= std::max(least_far, 1 - (far_cost + far_cost_dear * price) * price);
 }
 
 void Brain::begin_warm_up(Instant from, Server& s) {
@@ -919,6 +1066,7 @@
     s.skip_until = s.out_until = Instant{};
     s.excess.clear();
     s.ceiling = -1;
+    holders_.forget(static_cast<int>(&s - servers_.data()));
     const std::vector<CallId> old = s.standing;
     for (const CallId id : old) {
         Call& call = calls_.at(id);
@@ -932,6 +1080,9 @@
         case term_sheds: return plan_shedding(now);
         case shed_next: return shed_one(now, static_cast<int>(token >> 8));
         case ask_again: return watching_ || asked_ ? void() : ask_list(now);
+        case rounds: return begin_round(now);
+        case sum: return end_round(now);
+        case tell: return tell_holders();
         case hold_over: {
             hold_timer_ = false;
             std::deque<CallId> waiting;
--- a/src/brain.h
+++ b/src/brain.h
@@ -15,6 +15,8 @@
 #include "base/bucket_ring.h"
 #include "base/pcg32.h"
 #include "base/time.h"
+#include "peers/peer_bytes.h"
+#include "peers/tally.h"
 
 namespace headrouter {
 
@@ -45,6 +47,10 @@
     double cross_price = 0;  // of a call that crosses zones, as part of all service
     bool ask_list = false, pass_mode = false, groups = false, advises = false;
     Span park, max_advice, step, cold_time;
+    int balancers = 1;         // of this tier, this one counted
+    Span wall_ahead;           // of the module's clock: rounds are by the clock that all share
+    bool tells_peers = false;  // they may send one another messages
+    double fall_multiple = 3;  // of what a cold server can do, sent to it: it falls over
 };
 
 struct Listed {
@@ -90,7 +96,9 @@
     virtual void move(CallId) = 0;
     virtual void set_timer(Instant, uint64_t token) = 0;
     virtual void watch_list() = 0;
+    virtual void tell_peer(int slot, const std::string& bytes) = 0;  // everyone_else: all of them
 };
+constexpr int everyone_else = -1;
 
 // What stands or is being set up, by load.
 struct Holding {
@@ -128,6 +136,7 @@
     Span shed_gap;
     bool shedding = false, spared_first = false;
     Instant reset_at;
+    double pooled = 0, own_then = 0;  // load over all balancers, as told last; own of it then
 };
 
 class Brain {
@@ -144,7 +153,7 @@
     void list_told(Instant, ListKind, const std::vector<Listed>&);
     void told_again(Deployment);  // the same rows of types in the same places; more may follow
     void timer_rang(Instant, uint64_t token);
-    void probe_ended(Instant, const ServerId&, Ending, Span took, const LoadReport&);
+    bool peer_told(Instant, int slot, const std::string& bytes);  // false: not understood, nothing done
 
     const Deployment& told() const { return told_; }
     bool knows(const ServerId& id) const { return index_.count(id) > 0; }
@@ -261,8 +270,18 @@
     void apply_listed(Instant, const Listed&);
     void begin_anew(Instant, Server&);
     void ask_list(Instant);
-    void absorb(Instant, Server&, const LoadReport&);
     Span stay_away(const Call&);
+    void begin_round(Instant);
+    void end_round(Instant);
+    peers::Rows own_counts() const;
+    std::string pack(peers::Kind, int64_t round, size_t tellers, double total, const peers::Rows&) const;
+    void take_sum(Instant, int64_t round, size_t tellers, double total, const peers::Rows&);
+    int64_t round_at(Instant) const;
+    Instant begin_of(int64_t round) const;
+    int summed_by(int64_t round) const;
+    double pool_trust(Instant) const;
+    void note_placed(Instant, const std::string& group, int server);
+    void tell_holders();
 
     Deployment told_;
     Actions& out_;
@@ -287,6 +306,15 @@
     Instant asked_at_;
     Span ask_pause_;
     double usual_weight_ = 1e-9;  // of all that is listed, falling slowly
+    // What peers told, and what is gathered for them.
+    peers::ShortNames names_;
+    peers::Tally tally_;  // of the round that this balancer sums
+    peers::Holders holders_;
+    double pool_total_ = 0;
+    Instant pooled_at_;
+    int64_t last_round_ = -1;
+    std::vector<std::pair<uint32_t, int>> to_tell_;
+    bool tell_timer_ = false, round_timer_ = false;
 };
 
 }  // namespace headrouter
--- a/src/capture/ear.cpp
+++ b/src/capture/ear.cpp
@@ -95,12 +95,12 @@
     end(f);
 }
 
-void Ear::probe_ended(Instant now, const ServerId& server, Ending ending, Span took,
-                      const LoadReport& report) {
-    Frame* f = begin(Told::probe, now);
-    if (f) f->server = server, f->ending = ending, f->took = took, f->report = report;
-    brain_.probe_ended(now, server, ending, took, report);
+bool Ear::peer_told(Instant now, int slot, const std::string& bytes) {
+    Frame* f = begin(Told::peer, now);
+    if (f) f->slot = slot, f->bytes = bytes;
+    const bool understood = brain_.peer_told(now, slot, bytes);
     end(f);
+    return understood;
 }
 
 void Ear::send_leg(CallId call, const ServerId& server, Span time_out) {
@@ -133,4 +133,9 @@
     out_.watch_list();
 }
 
+void Ear::tell_peer(int slot, const std::string& bytes) {
+    took_down({Did::What::tell_peer, 0, {}, {}, {}, 0, slot, bytes});
+    out_.tell_peer(slot, bytes);
+}
+
 }  // namespace headrouter::capture
--- a/src/capture/ear.h
+++ b/src/capture/ear.h
@@ -29,7 +29,7 @@
     void list_told(Instant, ListKind, const std::vector<Listed>&);
     void told_again(Instant, Deployment);
     void timer_rang(Instant, uint64_t token);
-    void probe_ended(Instant, const ServerId&, Ending, Span took, const LoadReport&);
+    bool peer_told(Instant, int slot, const std::string& bytes);
     const Deployment& told() const { return brain_.told(); }
     bool knows(const ServerId& id) const { return brain_.knows(id); }
     // For the process that takes this one's place: before anything is told.
@@ -46,6 +46,7 @@
     void move(CallId) override;
     void set_timer(Instant, uint64_t) override;
     void watch_list() override;
+    void tell_peer(int, const std::string&) override;
     void took_down(Did);
 
     Actions& out_;
--- a/src/capture/explain.cpp
+++ b/src/capture/explain.cpp
@@ -16,6 +16,7 @@
     void move(CallId) override {}
     void set_timer(Instant, uint64_t) override {}
     void watch_list() override {}
+    void tell_peer(int, const std::string&) override {}
 };
 }  // namespace
 
--- a/src/capture/frame.cpp
+++ b/src/capture/frame.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-constexpr const char* told_words[] = {"call arrived",  "call inherited", "call gone",  "leg stands",
-                                      "leg ended",     "load told",      "delay told", "list told",
-                                      "settings told", "timer rang",     "probe ended"};
+constexpr const char* told_words[] = {"call arrived",  "call inherited", "call gone",   "leg stands",
+                                      "leg ended",     "load told",      "delay told",  "list told",
+                                      "settings told", "timer rang",     "probe ended", "peer told"};
 constexpr const char* ending_words[] = {"completed",      "error", "full",    "timed out",
                                         "connect failed", "reset", "stopped", "not sent"};
-constexpr const char* did_words[] = {"send", "reject", "release", "move", "set timer", "watch list"};
+constexpr const char* did_words[] = {"send",      "reject",     "release",  "move",
+                                     "set timer", "watch list", "tell peer"};
 
 template <class A>
 void visit(A& a, Did& d) {
@@ -24,6 +25,7 @@
             return capture::visit(a, d.call), capture::visit(a, d.server), capture::visit(a, d.span);
         case Did::What::reject: return capture::visit(a, d.call), capture::visit(a, d.span);
         case Did::What::set_timer: return capture::visit(a, d.at), capture::visit(a, d.token);
+        case Did::What::tell_peer: return capture::visit(a, d.slot), capture::visit(a, d.bytes);
         case Did::What::release:
         case Did::What::move: return capture::visit(a, d.call);
         default: return;
@@ -55,11 +57,13 @@
             capture::visit(a, f.server), capture::visit(a, f.ending), capture::visit(a, f.took);
             capture::visit(a, f.report);
             break;
+        case Told::peer: capture::visit(a, f.slot), capture::visit(a, f.bytes); break;
         default: break;
     }
     const size_t actions = visit_size(a, f.did.size());
     if constexpr (!A::writes) f.did.resize(actions);
     for (Did& d : f.did) visit(a, d);
+    if (f.what == Told::settings) visit_later(a, f.settings);
 }
 
 void check(bool holds, const char* what) {
@@ -76,6 +80,7 @@
     if (d.call) o << " call " << d.call;
     if (!d.server.empty()) o << " to " << d.server;
     if (d.span.ns) o << ", " << in_seconds(d.span) * 1000 << " ms";
+    if (d.what == Did::What::tell_peer) o << " " << d.slot << ": " << d.bytes;
     if (d.what == Did::What::set_timer) o << " " << d.token << " at " << in_seconds(d.at - Instant{}) << " s";
     return o.str();
 }
@@ -96,6 +101,7 @@
     if (f.what == Told::load || f.what == Told::delay) o << " " << f.figure;
     if (f.what == Told::list) o << ", " << f.list.size() << " servers";
     if (f.what == Told::timer) o << " " << f.token;
+    if (f.what == Told::peer) o << " by " << f.slot << ": " << f.bytes;
     return o.str();
 }
 
@@ -132,9 +138,7 @@
             check(f.settings.types.size() >= b.told().types.size(), "settings that take types away");
             return b.told_again(f.settings);
         case Told::timer: return b.timer_rang(f.at, f.token);
-        case Told::probe:
-            return check(b.knows(f.server), "a probe of an unknown server"),
-                   b.probe_ended(f.at, f.server, f.ending, f.took, f.report);
+        case Told::peer: return void(b.peer_told(f.at, f.slot, f.bytes));
         default: return;
     }
 }
--- a/src/capture/frame.h
+++ b/src/capture/frame.h
@@ -19,18 +19,30 @@
     list,
     settings,
     timer,
-    probe,
+    probe,  // of older captures; the module asks for none
+    peer,
     how_many
 };
 const char* word(Told);
 
 struct Did {  // an action of the module
-    enum class What : uint8_t { send_leg, reject, release, move, set_timer, watch_list, how_many } what;
+    enum class What : uint8_t {
+        send_leg,
+        reject,
+        release,
+        move,
+        set_timer,
+        watch_list,
+        tell_peer,
+        how_many
+    } what;
     CallId call = 0;
     ServerId server{};
     Span span{};   // a leg's time-out, how long to stay away
     Instant at{};  // of a timer
     uint64_t token = 0;
+    int slot = 0;         // of the balancer that is told
+    std::string bytes{};  // what it is told
     bool operator==(const Did&) const = default;
 };
 std::string in_words(const Did&);
@@ -51,6 +63,8 @@
     std::vector<Listed> list;
     Deployment settings;
     uint64_t token = 0;
+    int slot = 0;  // of the balancer that told it
+    std::string bytes;
     std::vector<Did> did;
 };
 std::string in_words(const Frame&);  // what was told, not what was done
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -45,6 +45,29 @@
     visit(a, d.park), visit(a, d.max_advice), visit(a, d.step), visit(a, d.cold_time);
 }
 
+// What came to be told later stands behind all else, where an older capture just ends.
+template <class A>
+void visit_later(A& a, Deployment& d) {
+    if constexpr (!A::writes)
+        if (a.left() == 0) return;
+    visit(a, d.balancers), visit(a, d.tells_peers), visit(a, d.fall_multiple), visit(a, d.wall_ahead);
+}
+
+template <class A>
+void visit(A& a, peers::Tally::Sum& s) {
+    visit(a, s.all), visit(a, s.most), visit(a, s.next);
+}
+
+template <class A>
+void visit(A& a, peers::Tally& t) {
+    visit(a, t.round), visit(a, t.heard_from), visit(a, t.total), visit(a, t.servers);
+}
+
+template <class A>
+void visit(A& a, peers::Holders::Holder& h) {
+    visit(a, h.server), visit(a, h.at), visit(a, h.to_tell);
+}
+
 template <class A>
 void visit(A& a, Listed& l) {
     visit(a, l.server), visit(a, l.weight), visit(a, l.condition), visit(a, l.zone), visit(a, l.cell);
@@ -134,6 +157,13 @@
     }
     visit(a, b.key_age_), visit(a, b.shortest_message_), visit(a, b.asked_), visit(a, b.watching_);
     visit(a, b.hold_timer_), visit(a, b.asked_at_), visit(a, b.ask_pause_), visit(a, b.usual_weight_);
+    visit_later(a, b.told_);
+    if constexpr (!A::writes)
+        if (a.left() == 0) return;
+    for (Server& s : b.servers_) visit(a, s.pooled), visit(a, s.own_then);
+    visit(a, b.names_.numbers_), visit(a, b.tally_), visit(a, b.holders_.groups_);
+    visit(a, b.pool_total_), visit(a, b.pooled_at_), visit(a, b.last_round_), visit(a, b.to_tell_);
+    visit(a, b.tell_timer_), visit(a, b.round_timer_);
 }
 
 }  // namespace headrouter
--- a/src/capture/replay.cpp
+++ b/src/capture/replay.cpp
@@ -33,6 +33,9 @@
     did_.push_back({Did::What::set_timer, 0, {}, {}, at, token});
 }
 void Player::watch_list() { did_.push_back({Did::What::watch_list}); }
+void Player::tell_peer(int slot, const std::string& bytes) {
+    did_.push_back({Did::What::tell_peer, 0, {}, {}, {}, 0, slot, bytes});
+}
 
 Reading read_file(const std::string& path, const std::function<void(const Header&)>& header,
                   const std::function<bool(const Block&)>& block) {
--- a/src/capture/replay.h
+++ b/src/capture/replay.h
@@ -26,6 +26,7 @@
     void move(CallId) override;
     void set_timer(Instant, uint64_t) override;
     void watch_list() override;
+    void tell_peer(int, const std::string&) override;
     std::vector<Did> did_;
     std::unique_ptr<Brain> brain_;
 };
--- a/src/lab/measures.cpp
+++ b/src/lab/measures.cpp
@@ -416,6 +416,7 @@
         void move(CallId) override {}
         void set_timer(Instant at, uint64_t token) override { timers.emplace_back(at, token); }
         void watch_list() override {}
+        void tell_peer(int, const std::string&) override {}
     } nobody;
     const World w;
     uint64_t frames = 0;
--- a/src/model/host.h
+++ b/src/model/host.h
@@ -75,6 +75,7 @@
     void move(CallId) override;
     void set_timer(Instant, uint64_t token) override;
     void watch_list() override {}
+    void tell_peer(int, const std::string&) override {}  // the model has no messages
 
     void hear(const News&);
     void start(Instant);
--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -43,6 +43,7 @@
       server_farewell_(loop),
       clients_(loop, client_farewell_, descriptors_, counters_, log),
       servers_(loop, server_farewell_, counters_, NoteSorter(least_delay_told(boot.told))),
+      peers_(loop, counters_),
       exchange_(boot.told, boot.seed, clients_, servers_,
                 {&Clock::now, [this](Instant at, uint64_t token) { set_timer(at, token); },
                  [this](Count& short_of) { return has_room(short_of); }},
@@ -53,6 +54,8 @@
     calls_.add("METRICS", [this] { return metrics(); });
     clients_.report_to(exchange_);
     servers_.report_to(exchange_);
+    peers_.report_to(exchange_);
+    exchange_.speak_by(peers_);
     ev_timer_init(
         &rings_, [](struct ev_loop*, ev_timer* w, int) { static_cast<Balancer*>(w->data)->ring(); }, 0, 0);
     rings_.data = this;
@@ -109,6 +112,10 @@
     else if (exchange_.list_told(ListKind::persisted, boot_.known); !clients_.listen(*listen, fault))
         throw Malformed("cannot listen on " + boot_.listen + ": " + fault);
     start_watch(known);
+    // The process before this one may not have let go yet: never two that speak under one number.
+    if (!speak_to_peers(boot_, fault) && !heir_)
+        throw Malformed("cannot speak to other balancers from 'peers.own', " + boot_.peers_own + ": " +
+                        fault);
     if (!meeting.empty() && !testator_.open(meeting, fault))
         log_.warning() << "nothing can be handed over to the next process: " << meeting << ": " << fault;
     started_ = true;
@@ -160,6 +167,7 @@
 // Clients that have had their answers are still seen off here.
 void Balancer::let_go(bool whole) {
     passed_on_ = true;
+    peers_.close();
     clients_.pause_listening(true);
     log_.info() << "a new process took over " << (whole ? "all of " : "the listener, not the ")
                 << clients_.size() << " clients";
@@ -182,6 +190,13 @@
     testator_.open(succession_path(boot_.folder, boot_.listen), fault);
 }
 
+bool Balancer::speak_to_peers(const Boot& boot, std::string& fault) {
+    if (boot.peers.empty()) return peers_.close(), true;
+    std::vector<Address> all;
+    for (const std::string& address : boot.peers) all.push_back(*Address::from(address));
+    return peers_.open(all, static_cast<int>(boot.told.deployment.slot), fault);
+}
+
 void Balancer::start_watch(int64_t from) {
     discovery_ = watch(discovery_of(boot_));
     from < 0 ? discovery_->start() : discovery_->start_from(from);
@@ -197,6 +212,10 @@
 void Balancer::reload(Boot now) {
     if (passed_on_) throw Malformed("another process has taken over");
     const Address discovery = discovery_of(now);
+    if (!now.peers.empty() && now.told.deployment.slot != boot_.told.deployment.slot)
+        throw Malformed("field 'slotNo' stays until the next start where balancers speak to one another");
+    if (std::string fault; !speak_to_peers(now, fault))
+        throw Malformed("cannot speak to other balancers from 'peers.own', " + now.peers_own + ": " + fault);
     if (now.listen != boot_.listen || now.name != boot_.name || now.ops != boot_.ops)
         log_.warning() << "name, listening and operators' address stay until the next start";
     now.listen = boot_.listen, now.name = boot_.name, now.ops = boot_.ops;
@@ -265,6 +284,7 @@
     exchange_.look_after();
     ops_.look_for_silent(now);
     testator_.tell_held(Fd::held());
+    if (std::string fault; !passed_on_ && !peers_.is_open()) speak_to_peers(boot_, fault);
     look_after_recorder();
     if (!leaving_) return;
     const bool done = exchange_.all_gone() && client_farewell_.size() + server_farewell_.size() == 0;
--- a/src/net/balancer.h
+++ b/src/net/balancer.h
@@ -14,6 +14,7 @@
 #include "net/discovery.h"
 #include "net/exchange.h"
 #include "net/ops_side.h"
+#include "net/peer_side.h"
 #include "net/server_side.h"
 #include "net/succession.h"
 
@@ -55,6 +56,7 @@
     void let_go(bool whole);
     void take_up_again();
     void start_watch(int64_t from);
+    bool speak_to_peers(const Boot&, std::string& fault);
     void others_hold(int descriptors);
     Testator::Duties duties();
     std::string status() const;
@@ -73,6 +75,7 @@
     Farewell client_farewell_, server_farewell_;
     ClientSide clients_;
     ServerSide servers_;
+    PeerSide peers_;
     Exchange exchange_;
     ops::Calls calls_;
     OpsSide ops_;
--- a/src/net/boot.cpp
+++ b/src/net/boot.cpp
@@ -3,11 +3,14 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
 
+#include "net/socket.h"
+
 namespace headrouter {
 using namespace json;
 
@@ -19,6 +22,36 @@
     return seed;
 }
 
+// One shape or the other: messages are permitted and everyone's address is known, or neither.
+static void read_peers(const Json& doc, Boot& boot) {
+    const Deployment& told = boot.told.deployment;
+    if (!find(doc, "peers")) {
+        if (!told.tells_peers) return;
+        throw Malformed(
+            "field 'peers' is missing, though 'ceilings.peers' permits messages between balancers");
+    }
+    if (!told.tells_peers)
+        throw Malformed(
+            "field 'peers' names balancers, but the settings do not permit messages: 'ceilings.peers' is not "
+            "true, or 'groupSize' is 1");
+    const Json& peers = object(doc, "peers");
+    boot.peers_own = text(peers, "own");
+    for (const Json& a : array(peers, "all").GetArray()) {
+        if (!a.IsString() || !Address::from(a.GetString()))
+            wrong("peers.all", "a list of HOST:PORT in numbers");
+        const std::string address = a.GetString();
+        if (std::find(boot.peers.begin(), boot.peers.end(), address) != boot.peers.end())
+            throw Malformed("field 'peers.all' names " + address + " twice");
+        boot.peers.push_back(address);
+    }
+    if (static_cast<int>(boot.peers.size()) != told.balancers)
+        throw Malformed("field 'peers.all' has " + std::to_string(boot.peers.size()) +
+                        " addresses, but 'groupSize' is " + std::to_string(told.balancers));
+    if (boot.peers[told.slot] != boot.peers_own)
+        throw Malformed("field 'peers.own' is '" + boot.peers_own + "', but the address of 'slotNo' " +
+                        std::to_string(told.slot) + " in 'peers.all' is '" + boot.peers[told.slot] + "'");
+}
+
 Boot read_boot(const std::string& json, const Clock& clock) {
     rapidjson::Document doc;
     parse(doc, json);
@@ -39,6 +72,8 @@
     rapidjson::Writer<rapidjson::StringBuffer> writer(settings);
     object(doc, "settings").Accept(writer);
     boot.told = told_from({settings.GetString(), settings.GetSize()});
+    boot.told.deployment.wall_ahead = clock.wall_ahead();
+    read_peers(doc, boot);
     if (find(doc, "known")) boot.known = read_news(object(doc, "known"), boot.told, clock);
     return boot;
 }
--- a/src/net/boot.h
+++ b/src/net/boot.h
@@ -1,6 +1,7 @@
 // What a balancer is told when it starts: the environment and the file that it names.
 #pragma once
 #include <string>
+#include <vector>
 
 #include "net/clock.h"
 #include "net/roster.h"
@@ -10,8 +11,10 @@
 
 struct Boot {
     std::string name, listen, discovery;
-    std::string ops;     // where operators call; empty: nowhere
-    std::string folder;  // common to this process and the next one; empty: nothing is handed over
+    std::string peers_own;           // this balancer's address among them; empty: it speaks to none
+    std::vector<std::string> peers;  // of all balancers, by their numbers
+    std::string ops;                 // where operators call; empty: nowhere
+    std::string folder;              // common to this process and the next one; empty: nothing is handed over
     uint64_t seed = 0;
     int descriptors = 1024;
     size_t memory_mb = 0;  // 0: not limited
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -13,6 +13,7 @@
 
     static Instant now() { return {in_ns(std::chrono::steady_clock::now().time_since_epoch())}; }
     Instant from_unix_ms(int64_t ms) const { return Instant{ms * 1'000'000} + shift_; }
+    Span wall_ahead() const { return Span{} - shift_; }
 
    private:
     template <class Duration>
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -259,6 +259,16 @@
     act();
 }
 
+// What is not understood is another version's, or was spoilt on the way.
+void Exchange::peer_told(int slot, const std::string& bytes) {
+    counters_.add(brain_.peer_told(clock_.now(), slot, bytes) ? Count::peers_heard : Count::peers_garbled);
+    act();
+}
+
+void Exchange::tell_peer(int slot, const std::string& bytes) {
+    if (peers_) peers_->tell(slot, bytes);
+}
+
 void Exchange::told_again(const Told& now) {
     told_ = realigned(told_, now);
     tally_.has_types(told_.types.size());
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -23,7 +23,7 @@
 // Clients go on coming for a moment after the request to leave.
 constexpr Span arrivals_over = millis(450);
 
-class Exchange : public ClientEvents, public ServerEvents, private Actions {
+class Exchange : public ClientEvents, public ServerEvents, public PeerEvents, private Actions {
    public:
     struct Clockwork {  // what it needs of the world besides the two sides
         std::function<Instant()> now;
@@ -31,6 +31,7 @@
         std::function<bool(Count&)> has_room;  // for one call more; names what is short otherwise
     };
     Exchange(Told, uint64_t seed, ClientPort&, ServerPort&, Clockwork, Counters&, Log&);
+    void speak_by(PeerPort& peers) { peers_ = &peers; }  // without one nobody is told
 
     void call_opened(CallId, std::string_view line) override;
     void client_bytes(CallId, std::string_view bytes) override;
@@ -45,6 +46,7 @@
     void delay_told(CallId, double) override;
     void leg_over(CallId, const LegEnd&) override;
     void server_drained(CallId) override;
+    void peer_told(int slot, const std::string& bytes) override;
 
     void list_told(ListKind, const ListNews&);
     void told_again(const Told&);  // settings read anew under way
@@ -83,6 +85,7 @@
     void move(CallId) override;
     void set_timer(Instant, uint64_t token) override;
     void watch_list() override {}  // the watch is kept up all the time
+    void tell_peer(int slot, const std::string& bytes) override;
 
     void act();
     void do_send(const Due&);
@@ -97,6 +100,7 @@
     Told told_;
     ClientPort& clients_;
     ServerPort& servers_;
+    PeerPort* peers_ = nullptr;
     Clockwork clock_;
     Counters& counters_;
     Log& log_;
--- /dev/null
+++ b/src/net/peer_side.h
@@ -0,0 +1,46 @@
+// The other balancers, by single datagrams: what is told may be lost, doubled or late, and the module knows.
+// Only addresses that the configuration names are heard; size, number and rate are bounded both ways.
+#pragma once
+#include <ev.h>
+
+#include <string>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/ports.h"
+#include "net/socket.h"
+
+namespace headrouter {
+
+class PeerSide : public PeerPort {
+   public:
+    PeerSide(struct ev_loop*, Counters&);
+    ~PeerSide();
+    PeerSide(const PeerSide&) = delete;
+    PeerSide& operator=(const PeerSide&) = delete;
+
+    void report_to(PeerEvents& events) { events_ = &events; }
+    // Speaks and hears as `own`, the place of its address among all. What was open before stays where this
+    // one cannot be opened.
+    bool open(const std::vector<Address>& all, int own, std::string& fault);
+    void close();
+    bool is_open() const { return static_cast<bool>(fd_); }
+    void tell(int slot, std::string_view bytes) override;
+
+   private:
+    void hear();
+    void tell_one(int slot, std::string_view bytes);
+    bool within_rate(double& left);
+
+    struct ev_loop* loop_;
+    Counters& counters_;
+    PeerEvents* events_ = nullptr;
+    ev_io reads_{};
+    Fd fd_;
+    int own_ = -1;
+    std::vector<Address> all_;
+    double may_tell_ = 0, may_hear_ = 0;
+    Instant refilled_;
+};
+
+}  // namespace headrouter
--- a/src/net/ports.h
+++ b/src/net/ports.h
@@ -39,6 +39,18 @@
     std::string_view answer;  // the line that ended it before it stood, where there was one
 };
 
+class PeerPort {  // the other balancers; nothing told is sure to arrive
+   public:
+    virtual ~PeerPort() = default;
+    virtual void tell(int slot, std::string_view bytes) = 0;  // everyone_else: all of them
+};
+
+class PeerEvents {
+   public:
+    virtual ~PeerEvents() = default;
+    virtual void peer_told(int slot, const std::string& bytes) = 0;
+};
+
 class ClientEvents {
    public:
     virtual ~ClientEvents() = default;
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -110,6 +110,14 @@
     d.park = span_or_zero(domain, "parkNs");
     d.step = span_or_zero(o, "stepNs");
     d.cold_time = span(rules, "coldNs");
+    if (find(rules, "fallMultiple")) d.fall_multiple = real(rules, "fallMultiple");
+    if (!(d.fall_multiple >= 1 && d.fall_multiple <= 1000)) wrong("fallMultiple", "a number from 1 to 1000");
+    d.tells_peers = flag_or(ceilings, "peers", false);
+    if (find(o, "groupSize")) d.balancers = small(o, "groupSize");
+    if (d.balancers < 1 || d.balancers > 4095) wrong("groupSize", "a number of balancers from 1 to 4095");
+    if (d.tells_peers && d.slot >= static_cast<uint64_t>(d.balancers))
+        wrong("slotNo", "a number below groupSize where peers may be told");
+    if (d.balancers == 1) d.tells_peers = false;  // nobody to tell
     return d;
 }
 
@@ -133,6 +141,17 @@
             told.zones.emplace_back(z.GetString(), z.GetStringLength());
         }
     if (find(doc, "domain")) told.tells_delay = flag_or(object(doc, "domain"), "tellsDelay", false);
+    const Json& rules = object(doc, "invariants");
+    const char* const cold_rule[] = {"fallMultiple", "fallNs", "coldShare"};
+    const auto stated = std::count_if(std::begin(cold_rule), std::end(cold_rule),
+                                      [&](const char* key) { return find(rules, key) != nullptr; });
+    for (const char* key : cold_rule)
+        if (stated > 0 && !find(rules, key))
+            throw Malformed(std::string("field '") + key +
+                            "' is missing, though others of the cold rule are stated");
+    if (stated > 0 && !(real(rules, "coldShare") > 0 && real(rules, "coldShare") <= 1))
+        wrong("coldShare", "a number above 0 and up to 1");
+    if (stated > 0 && integer(rules, "fallNs") <= 0) wrong("fallNs", "a time above 0");
     told.connect_time = span_or_zero(object(doc, "ceilings"), "dialTimeoutNs");
     told.ask_within = span_or_zero(object(doc, "invariants"), "askEveryNs");
     return told;
@@ -229,7 +248,7 @@
     } else if (event == "Ring") {
         brain.timer_rang(now_, static_cast<uint64_t>(natural(f, "cookie")));
     } else if (event == "Probed") {
-        brain.probe_ended(now_, server_known(), ending(f), span(f, "costTimeNs"), report(f));
+        server_known();  // the module asks for none
     } else if (event == "Discovery") {
         const ListKind kind = one_of<ListKind>(f, "mode",
                                                {{"Partial", ListKind::partial},
@@ -238,8 +257,9 @@
                                                 {"Error", ListKind::error}});
         brain.list_told(now_, kind, entries(f, kind));
     } else if (event == "Mail") {
-        natural(f, "by");
-        text(f, "contents");
+        // What is not understood is passed over: another version's, or spoilt on the way.
+        const int by = small(f, "by");
+        brain.peer_told(now_, by, text(f, "contents"));
     } else {
         throw Malformed("unknown event '" + event + "'");
     }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -66,4 +66,9 @@
     reply_ += ",\"active\":true}}\n";
 }
 
+void LineActions::tell_peer(int slot, const std::string& bytes) {
+    open("Publish");
+    reply_ += ",\"whom\":" + std::to_string(slot) + ",\"contents\":" + quoted(bytes) + "}}\n";
+}
+
 }  // namespace headrouter
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -19,6 +19,7 @@
     void move(CallId) override;
     void set_timer(Instant, uint64_t token) override;
     void watch_list() override;
+    void tell_peer(int slot, const std::string& bytes) override;
 
    private:
     void open(const char* action);
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -5,6 +5,7 @@
 #include <cassert>
 #include <utility>
 
+#include "base/hash.h"
 #include "brain.h"
 
 namespace headrouter {
@@ -26,8 +27,18 @@
     void move(CallId c) override { moved.push_back(c); }
     void set_timer(Instant t, uint64_t token) override { timers.emplace_back(t, token); }
     void watch_list() override { ++asks; }
+    void tell_peer(int slot, const std::string& bytes) override { told.emplace_back(slot, bytes); }
+    std::vector<std::pair<int, std::string>> told;
 };
 
+inline Call a_call_of_a_group(Instant now) {
+    Call c;
+    c.id = 1;
+    c.guard = now + seconds(2);
+    c.group = "asked";
+    return c;
+}
+
 struct Peek {
     Brain& b;
     Server& server(const ServerId& id) { return b.servers_[b.index_.at(id)]; }
@@ -54,6 +65,15 @@
         all.resize(n);
         return all;
     }
+    double pooled(const ServerId& id) { return server(id).pooled; }
+    double pool_total() { return b.pool_total_; }
+    double pool_trust(Instant t) { return b.pool_trust(t); }
+    bool room_for_group(Instant t, const ServerId& id) {
+        const Call c = a_call_of_a_group(t);
+        const auto fleet = b.look(t, &c);
+        const Brain::Room room{t, c, fleet, b.load_of(c), -1};
+        return b.has_room(room, b.index_.at(id), true);
+    }
     size_t keys() { return b.keys_.size(); }
     CallId victim(Instant t, const ServerId& id) { return b.victim(t, server(id)); }
     std::vector<std::pair<Instant, uint64_t>> due(Written& w) { return std::exchange(w.timers, {}); }
