Holders of a group near by come before its home, those beyond a dear crossing after it

With pooled counts: near holders, then the home, then far holders; room for a group 3 shares and 8 connections. Without them holders and homes are as before, and own past placements no longer count as told.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -52,7 +52,7 @@
 // a lost server still counts in the shares for that after a term.
 constexpr double cold_part = 2.0 / 3, weight_kept = 0.9;
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
-constexpr double far_cost = 8, far_cost_dear = 15, least_far = 0.02;
+constexpr double far_cost = 8, far_cost_dear = 15, least_far = 0.02, near_weight = 0.5;
 // Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
 constexpr double heard_least = 1;
 // How many servers, and which part of those heard of, are much of the fleet when they are slow: one or two of
@@ -70,7 +70,7 @@
 // how many connections a server may go for a group where all balancers' are known. Holders of groups are
 // told soon, since crowds come back within a second, and again now and then.
 constexpr Span round_time = seconds(5), digests_within = seconds(0.1), sum_after = seconds(0.25);
-constexpr double pool_slack = 3, pool_room = 4;
+constexpr double pool_slack = 3, pool_room = 8;
 constexpr double rounds_trusted = 2, rounds_faded = 6;
 constexpr double sum_doubted = 1.5;  // how far from what was known one sum may lead
 constexpr double most_scaled = 2;    // a sum over less than half of the balancers says little
@@ -185,17 +185,23 @@
     const auto held = groups_.find(call.group);
     int members = 0;
     call.chosen = -1;
-    for (const auto& h : holders_.of(short_hash(call.group)))  // as peers told
-        if (room.now - h.at < holder_kept && has_room(room, h.server, true) &&
-            (call.chosen < 0 || draw.at[h.server] < draw.at[call.chosen]))
-            call.chosen = h.server;
-    if (held != groups_.end())
-        for (const auto& [k, n] : held->second) {
-            members += n;
-            if (has_room(room, k, true) && (call.chosen < 0 || draw.at[k] < draw.at[call.chosen]))
-                call.chosen = k;
-        }
+    const auto consider = [&](int k) {
+        if (has_room(room, k, true) && (call.chosen < 0 || draw.at[k] < draw.at[call.chosen]))
+            call.chosen = k;
+    };
+    const bool pooled = pool_trust(room.now) > 0;
+    const auto consider_holders = [&](bool all) {
+        if (held != groups_.end())
+            for (const auto& [k, n] : held->second)
+                if (all || !pooled || near(servers_[k])) consider(k);
+        for (const auto& h : holders_.of(short_hash(call.group)))  // as peers told
+            if (h.heard.ns > 0 && room.now - h.heard < holder_kept && (all || near(servers_[h.server])))
+                consider(h.server);
+    };
+    consider_holders(false);
     if (call.chosen >= 0) return;
+    if (held != groups_.end())
+        for (const auto& entry : held->second) members += entry.second;
     // A balancer that holds few connections cannot tell what part of all belongs to a group.
     double needed =
         group_spread * (room.load + members) * room.fleet.total / (room.fleet.total + group_doubt());
@@ -210,17 +216,20 @@
         slow_at_home += is_slow(room, k);
         if (!has_room(room, k, true)) continue;
         if (call.group.empty()) return void(call.chosen = k);
-        if (call.chosen < 0 || (!told_.tells_peers && own_rank(k) < own_rank(call.chosen))) call.chosen = k;
+        if (call.chosen < 0 || (!pooled && own_rank(k) < own_rank(call.chosen))) call.chosen = k;
     }
     if (call.chosen >= 0) return void(call.chosen = seems_slow(room, call.chosen) ? -1 : call.chosen);
     // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
     // (i14adcf).
     if (slow_at_home > 0 && room.fleet.much_slow) return;
-    for (; at < draw.order.size(); ++at)
-        if (has_room(room, draw.order[at], true)) return void(call.chosen = draw.order[at]);
-    call.chosen = least_over(room, &draw);
+    if (pooled) consider_holders(true);
+    for (; call.chosen < 0 && at < draw.order.size(); ++at) consider(draw.order[at]);
+    if (call.chosen < 0) call.chosen = least_over(room, &draw);
 }
 
+// Not in another zone to which a crossing is dear.
+bool Brain::near(const Server& s) const { return s.weight > near_weight * plain_weight(s); }
+
 // A balancer that holds few connections sees one of a group, whether the group is a tenth of all or a
 // thousandth. How often two of its own belong together tells how large groups are (Ewens); where it does not,
 // the groups are small, and homes with them.
@@ -942,7 +951,7 @@
                       slot != static_cast<int>(told_.slot) && told.read(bytes);
     if (!sane) return false;
     for (const peers::Held& h : told.held)
-        if (const int k = names_.find(h.server); k >= 0) holders_.at(h.group, k) = {k, now, false};
+        if (const int k = names_.find(h.server); k >= 0) holders_.at(h.group, k) = {k, now, now, false};
     if (told.kind == peers::Kind::held) return true;
     const int64_t here = round_at(now), half = peers::rounds / 2;
     const int64_t round =
@@ -963,8 +972,8 @@
 // the same; of the first usable server of a group's draw nobody need be told, as all look there first.
 void Brain::note_placed(Instant now, const std::string& group, int server) {
     peers::Holders::Holder& h = holders_.at(short_hash(group), server);
-    if (h.to_tell || now - h.at < holder_again) return;
-    h.at = now;
+    if (h.to_tell || now - h.told < holder_again) return;
+    h.told = now;
     const std::vector<int>& order = draw_of(group).order;
     const auto first =
         std::find_if(order.begin(), order.end(), [&](int k) { return usable(now, servers_[k]); });
--- a/src/brain.h
+++ b/src/brain.h
@@ -227,6 +227,7 @@
     bool has_room(const Room&, int server, bool grouped) const;
     int least_over(const Room&, const Draw*) const;
     double own_rank(int server) const;
+    bool near(const Server&) const;
     double group_doubt() const;
     Fleet look(Instant, const Call*);
     static void spread(Fleet&, double weights);
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -65,7 +65,7 @@
 
 template <class A>
 void visit(A& a, peers::Holders::Holder& h) {
-    visit(a, h.server), visit(a, h.at), visit(a, h.to_tell);
+    visit(a, h.server), visit(a, h.heard), visit(a, h.told), visit(a, h.to_tell);
 }
 
 template <class A>
--- a/src/peers/tally.cpp
+++ b/src/peers/tally.cpp
@@ -43,7 +43,7 @@
     for (Holder& h : all)
         if (h.server == server) return h;
     if (all.size() >= holders_kept) all.erase(all.begin());
-    return all.emplace_back(Holder{server, {}, false});
+    return all.emplace_back(Holder{server, {}, {}, false});
 }
 
 const std::vector<Holders::Holder>& Holders::of(uint32_t group) const {
