--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -64,13 +64,11 @@
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
 constexpr Span first_ask_pause = millis(300), longest_ask_pause = seconds(2);
 
-// Of the mean load from which a sum names a server.
-constexpr double told_over = 1.5;
 // Pooled counts: two rounds a term, within the first part of a second of each; how far over its share and by
 // how many connections a server may go for a group where all balancers' are known. Holders of groups are
 // told soon, since crowds come back within a second, and again now and then.
 constexpr Span round_time = seconds(5), digests_within = seconds(0.1), sum_after = seconds(0.25);
-constexpr double pool_slack = 3, pool_room = 8;
+constexpr double pool_slack = 3, pool_room = 8, told_over = 1.5;  // the last: to be named in a sum
 constexpr double rounds_trusted = 2, rounds_faded = 6;
 constexpr double sum_doubted = 1.5;  // how far from what was known one sum may lead
 constexpr double most_scaled = 2;    // a sum over less than half of the balancers says little
@@ -882,9 +880,9 @@
     if (!(round_timer_ = told_.tells_peers)) return;
     const int64_t round = round_at(now);
     out_.set_timer(begin_of(round + 1) + digests_within * chance_.uniform(), rounds);
-    const int by = summed_by(round);
-    if (by == static_cast<int>(told_.slot)) return out_.set_timer(begin_of(round) + sum_after, sum);
-    out_.tell_peer(by, pack(peers::Kind::counts, round, 1, load_in(all_), own_counts()));
+    if (summed_by(round) == static_cast<int>(told_.slot))
+        return out_.set_timer(begin_of(round) + sum_after, sum);
+    out_.tell_peer(summed_by(round), pack(peers::Kind::counts, round, 1, load_in(all_), own_counts()));
 }
 
 peers::Rows Brain::own_counts() const {
@@ -947,9 +945,9 @@
 
 bool Brain::peer_told(Instant now, int slot, const std::string& bytes) {
     peers::Reader told;
-    const bool sane = told_.tells_peers && slot >= 0 && slot < told_.balancers &&
-                      slot != static_cast<int>(told_.slot) && told.read(bytes);
-    if (!sane) return false;
+    if (!told_.tells_peers || slot < 0 || slot >= told_.balancers || slot == static_cast<int>(told_.slot) ||
+        !told.read(bytes))
+        return false;
     for (const peers::Held& h : told.held)
         if (const int k = names_.find(h.server); k >= 0) holders_.at(h.group, k) = {k, now, now, false};
     if (told.kind == peers::Kind::held) return true;
--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -139,6 +139,9 @@
               << boot.known.unreadable << " unreadable)\n"
               << boot.descriptors << " descriptors, " << boot.memory_mb << " MB\n";
     if (!boot.ops.empty()) std::cout << "operators call at " << boot.ops << "\n";
+    if (!boot.peers.empty())
+        std::cout << "tells " << boot.peers.size() - 1 << " other balancers its counts, from "
+                  << boot.peers_own << ", as number " << boot.told.deployment.slot << "\n";
     if (file.capture)
         std::cout << "captures in " << file.capture->keeping.folder
                   << (file.capture->on ? "" : ", off until SIGUSR2") << "\n";
