--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -64,14 +64,14 @@
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
 constexpr Span first_ask_pause = millis(300), longest_ask_pause = seconds(2);
 
-// Pooled counts: two rounds a term, within the first part of a second of each; how far over its share and by
-// how many connections a server may go for a group where all balancers' are known. Holders of groups are
-// told soon, since crowds come back within a second, and again now and then.
+// Pooled counts: two rounds a term; how far over its share and by how many connections a server may go for a
+// group where all balancers' are known. Holders are told soon, since crowds come back within a second.
 constexpr Span round_time = seconds(5), digests_within = seconds(0.1), sum_after = seconds(0.25);
 constexpr double pool_slack = 3, pool_room = 8, told_over = 1.5;  // the last: to be named in a sum
-constexpr double rounds_trusted = 2, rounds_faded = 6;
-constexpr double sum_doubted = 1.5;  // how far from what was known one sum may lead
-constexpr double most_scaled = 2;    // a sum over less than half of the balancers says little
+// How far from what was known one sum may lead; a sum over less than half of the balancers says little.
+constexpr double rounds_trusted = 2, rounds_faded = 6, sum_doubted = 1.5, most_scaled = 2;
+// Bytes over all who read them: what a call earns, what is saved up, what a pair costs with its message.
+constexpr double credit_a_call = 60, most_credit = 2400, cost_of_pair = 12;
 constexpr Span holder_kept = seconds(120), holder_again = seconds(60), holder_within = seconds(0.05);
 
 enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again, rounds, sum, tell };
@@ -199,7 +199,7 @@
     consider_holders(false);
     if (call.chosen >= 0) return;
     if (held != groups_.end())
-        for (const auto& entry : held->second) members += entry.second;
+        for (const auto& [k, n] : held->second) members += n;
     // A balancer that holds few connections cannot tell what part of all belongs to a group.
     double needed =
         group_spread * (room.load + members) * room.fleet.total / (room.fleet.total + group_doubt());
@@ -225,7 +225,6 @@
     if (call.chosen < 0) call.chosen = least_over(room, &draw);
 }
 
-// Not in another zone to which a crossing is dear.
 bool Brain::near(const Server& s) const { return s.weight > near_weight * plain_weight(s); }
 
 // A balancer that holds few connections sees one of a group, whether the group is a tenth of all or a
@@ -583,6 +582,7 @@
 
 void Brain::call_arrived(Instant now, Call call) {
     const CallId id = call.id;
+    if (!call.again) tell_credit_ = std::min(tell_credit_ + credit_a_call, most_credit);
     if (call.hinted_load) learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
     Call& kept = calls_[id] = std::move(call);
     run_chain(now, kept);
@@ -870,9 +870,7 @@
 // that is dead costs a round. Within a sum the largest count of a server counts as the next.
 int64_t Brain::round_at(Instant now) const { return (now + told_.wall_ahead).ns / round_time.ns; }
 
-Instant Brain::begin_of(int64_t round) const {
-    return Instant{round * round_time.ns} + (Span{} - told_.wall_ahead);
-}
+Instant Brain::begin_of(int64_t round) const { return Instant{round * round_time.ns - told_.wall_ahead.ns}; }
 
 int Brain::summed_by(int64_t round) const { return static_cast<int>(round % told_.balancers); }
 
@@ -880,9 +878,9 @@
     if (!(round_timer_ = told_.tells_peers)) return;
     const int64_t round = round_at(now);
     out_.set_timer(begin_of(round + 1) + digests_within * chance_.uniform(), rounds);
-    if (summed_by(round) == static_cast<int>(told_.slot))
-        return out_.set_timer(begin_of(round) + sum_after, sum);
-    out_.tell_peer(summed_by(round), pack(peers::Kind::counts, round, 1, load_in(all_), own_counts()));
+    const int by = summed_by(round);
+    if (by == static_cast<int>(told_.slot)) return out_.set_timer(begin_of(round) + sum_after, sum);
+    out_.tell_peer(by, pack(peers::Kind::counts, round, 1, load_in(all_), own_counts()));
 }
 
 peers::Rows Brain::own_counts() const {
@@ -921,8 +919,8 @@
         rest -= load;
         if (servers_[k].listed.condition == Condition::active) weights -= plain_weight(servers_[k]);
     }
-    // Nothing is believed from one alone: a sum may lead so far from what was known and no farther, the
-    // next sum has another sender. A balancer that holds nothing yet knows nothing to doubt it by.
+    // Nothing is believed from one alone: a sum leads only so far from what was known, the next has another
+    // sender. A balancer that holds nothing yet knows nothing to doubt it by.
     const double known = pooled_at_.ns > 0 ? pool_total_ : load_in(all_) * told_.balancers / sum_doubted;
     pool_total_ = std::max(total * scale, known / sum_doubted);
     for (size_t k = 0; k < servers_.size(); ++k) {
@@ -951,10 +949,9 @@
     for (const peers::Held& h : told.held)
         if (const int k = names_.find(h.server); k >= 0) holders_.at(h.group, k) = {k, now, now, false};
     if (told.kind == peers::Kind::held) return true;
-    const int64_t here = round_at(now), half = peers::rounds / 2;
-    const int64_t round =
-        here + (told.round - here % peers::rounds + peers::rounds + half) % peers::rounds - half;
-    if (std::abs(round - here) > 1) return true;  // late, or another's clock
+    int64_t round = round_at(now) - 1;  // rounds come without their high bits; late ones are passed over
+    while (round <= round_at(now) + 1 && round % peers::rounds != told.round) ++round;
+    if (round > round_at(now) + 1) return true;
     peers::Rows rows;
     for (const peers::Counted& c : told.counted)
         if (const int k = names_.find(c.server); k >= 0) rows.emplace_back(k, c.load);
@@ -973,25 +970,28 @@
     if (h.to_tell || now - h.told < holder_again) return;
     h.told = now;
     const std::vector<int>& order = draw_of(group).order;
-    const auto first =
-        std::find_if(order.begin(), order.end(), [&](int k) { return usable(now, servers_[k]); });
-    if (first != order.end() && *first == server) return;
+    size_t first = 0;
+    while (first < order.size() && !usable(now, servers_[order[first]])) ++first;
+    if (first < order.size() && order[first] == server) return;
     h.to_tell = true;
     to_tell_.emplace_back(short_hash(group), server);
     if (!std::exchange(tell_timer_, true)) out_.set_timer(now + holder_within * chance_.uniform(), tell);
 }
 
+// As many as the calls since have earned; what is left out is told when another member is placed.
 void Brain::tell_holders() {
     tell_timer_ = false;
+    const double cost = cost_of_pair * (told_.balancers - 1);
     std::vector<peers::Held> rows;
-    for (const auto& [group, server] : std::exchange(to_tell_, {}))
-        if (std::exchange(holders_.at(group, server).to_tell, false))
-            rows.push_back({group, peers::ShortNames::of(servers_[server].listed.server)});
-    for (size_t from = 0; from < rows.size(); from += peers::most_held) {
-        const auto begin = rows.begin() + static_cast<ptrdiff_t>(from);
-        const auto some = static_cast<ptrdiff_t>(std::min(rows.size() - from, peers::most_held));
-        out_.tell_peer(everyone_else, peers::pack_held({begin, begin + some}));
+    for (const auto& [group, server] : std::exchange(to_tell_, {})) {
+        peers::Holders::Holder& h = holders_.at(group, server);
+        if (!std::exchange(h.to_tell, false) || rows.size() == peers::most_held) continue;
+        if (tell_credit_ < cost) h.told = Instant{};
+        if (tell_credit_ < cost) continue;
+        tell_credit_ -= cost;
+        rows.push_back({group, peers::ShortNames::of(servers_[server].listed.server)});
     }
+    if (!rows.empty()) out_.tell_peer(everyone_else, peers::pack_held(rows));
 }
 
 // ---- the list ----
--- a/src/brain.h
+++ b/src/brain.h
@@ -315,6 +315,7 @@
     Instant pooled_at_;
     int64_t last_round_ = -1;
     std::vector<std::pair<uint32_t, int>> to_tell_;
+    double tell_credit_ = 2400;  // bytes over all who read them, earned by calls
     bool tell_timer_ = false, round_timer_ = false;
 };
 
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -162,7 +162,8 @@
         if (a.left() == 0) return;
     for (Server& s : b.servers_) visit(a, s.pooled), visit(a, s.own_then);
     visit(a, b.names_.numbers_), visit(a, b.tally_), visit(a, b.holders_.groups_);
-    visit(a, b.pool_total_), visit(a, b.pooled_at_), visit(a, b.last_round_), visit(a, b.to_tell_);
+    visit(a, b.pool_total_), visit(a, b.pooled_at_), visit(a, b.last_round_), visit(a, b.to_tell_),
+        visit(a, b.tell_credit_);
     visit(a, b.tell_timer_), visit(a, b.round_timer_);
 }
 
