A home's servers are taken by own rank with pooled counts too; a server's hash is kept

The hash of a server's id is kept (8 % of the adapter's time there), the draw's order is still sorted whole.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -214,7 +214,7 @@
         slow_at_home += is_slow(room, k);
         if (!has_room(room, k, true)) continue;
         if (call.group.empty()) return void(call.chosen = k);
-        if (call.chosen < 0 || (!pooled && own_rank(k) < own_rank(call.chosen))) call.chosen = k;
+        if (call.chosen < 0 || own_rank(k) < own_rank(call.chosen)) call.chosen = k;
     }
     if (call.chosen >= 0) return void(call.chosen = seems_slow(room, call.chosen) ? -1 : call.chosen);
     // Where much of the fleet is slow, a group that spreads beyond its slow home takes room from all others
@@ -522,7 +522,7 @@
     const uint64_t seed = hash_of(name);
     while (draw.at.size() < servers_.size()) {
         const Server& s = servers_[draw.at.size()];
-        const double u = Pcg32(seed, hash_of(s.listed.server)).uniform();
+        const double u = Pcg32(seed, s.hash).uniform();
         draw.order.push_back(static_cast<int>(draw.at.size()));
         draw.at.push_back(-std::log(u) / s.weight);
     }
@@ -964,7 +964,7 @@
 
 // Where a group stands: a balancer with a handful of connections holds none of most groups, and would open
 // them once more. The first to place a member on a server tells all, soon but not at once, so that few tell
-// the same; of the first usable server of a group's draw nobody need be told, as all look there first.
+// the same; the first usable server of a group's draw need not be told, as it is in everyone's home.
 void Brain::note_placed(Instant now, const std::string& group, int server) {
     peers::Holders::Holder& h = holders_.at(short_hash(group), server);
     if (h.to_tell || now - h.told < holder_again) return;
@@ -1029,14 +1029,14 @@
 void Brain::apply_listed(Instant now, const Listed& entry) {
     const auto [it, is_new] = index_.emplace(entry.server, static_cast<int>(servers_.size()));
     if (is_new) {
-        servers_.emplace_back(term_time);
-        servers_.back().listed = entry;
-        servers_.back().named_in = lists_;
-        weigh(servers_.back());
+        Server& s = servers_.emplace_back(term_time);
+        s.listed = entry;
+        s.named_in = lists_;
+        s.hash = hash_of(entry.server);
+        weigh(s);
         names_.add(entry.server, it->second);
-        servers_.back().draw = -std::log(Pcg32(told_.slot, hash_of(entry.server)).uniform());
-        if (entry.launched) begin_warm_up(*entry.launched, servers_.back());
-        return;
+        s.draw = -std::log(Pcg32(told_.slot, s.hash).uniform());
+        return entry.launched ? begin_warm_up(*entry.launched, s) : void();
     }
     Server& s = servers_[it->second];
     const bool restarted = entry.launched && (!s.listed.launched || *entry.launched > *s.listed.launched);
--- a/src/brain.h
+++ b/src/brain.h
@@ -109,6 +109,7 @@
 struct Server {
     explicit Server(Span term) : excess(term) {}
     Listed listed;
+    uint64_t hash = 0;                 // of its id
     double weight = 1;                 // listed, less for other zones
     bool restarted_unlisted = false;   // seen to come back after a break that the list has not told of yet
     std::optional<Instant> warm_from;  // start of the warm-up, told or seen
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 
+#include "base/hash.h"
 #include "brain.h"
 #include "capture/archive.h"
 
@@ -158,6 +159,7 @@
     visit(a, b.key_age_), visit(a, b.shortest_message_), visit(a, b.asked_), visit(a, b.watching_);
     visit(a, b.hold_timer_), visit(a, b.asked_at_), visit(a, b.ask_pause_), visit(a, b.usual_weight_);
     visit_later(a, b.told_);
+    for (Server& s : b.servers_) s.hash = hash_of(s.listed.server);  // nothing but that
     if constexpr (!A::writes)
         if (a.left() == 0) return;
     for (Server& s : b.servers_) visit(a, s.pooled), visit(a, s.own_then);
