--- a/tests/peers/test_pool.cpp
+++ b/tests/peers/test_pool.cpp
@@ -312,3 +312,27 @@
         assert(there <= 2 * 0.2 * 224 / 5 + 8);
     }
 }};
+
+// Many balancers, all placing at once: what is told stays in proportion to the calls (i3fa054).
+static const Case pairs_are_earned_by_calls{[] {
+    Post p(60, alike(6));
+    size_t bytes = 0;
+    p.arrives = [&](Letter& l) {
+        if (l.bytes[1] == 'h') bytes += l.bytes.size();
+        return true;
+    };
+    CallId id = 1;
+    for (int k = 0; k < p.size(); ++k)  // stood before: of these nobody has earned anything
+        for (int n = 0; n < 40; ++n, ++id)
+            p.brains[k]->call_inherited(p.now, call(id, p.now, "", "g" + std::to_string(id)),
+                                        "s" + std::to_string(n % 6));
+    p.collect();
+    p.run(seconds(2));
+    assert(bytes > 0 && bytes <= 60 * 2400);
+    bytes = 0;
+    for (int n = 0; n < 600; ++n, ++id) {
+        p.place(n % p.size(), id, "h" + std::to_string(id));
+        if (n % 60 == 59) p.run(millis(200));
+    }
+    assert(bytes <= 600 * 60 + 60 * 2400);
+}};
