Trust in pooled counts is looked up once a call; no pair is lost to a full message

Cause (read again): has_room asked for the pooled counts' age at each server of a pass, and calls hashed their group for told holders where no message is allowed; a pair beyond the 48 of a message counted as told for a minute though nobody had heard of it. Change: the age stands in the Room; holders are looked up only where messages are allowed; such a pair is told with the next member.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -147,7 +147,7 @@
     if (!fleet.open) return Verdict::keep;
     const double load = load_of(call);
     const bool back_in_pause = note && !note->parked && in_pause(now);
-    const Room room{now, call, fleet, load, back_in_pause ? note->server : -1};
+    const Room room{now, call, fleet, load, back_in_pause ? note->server : -1, pool_trust(now)};
     if (draw_name_of(call).empty())
         place_alone(room, call);
     else
@@ -187,11 +187,12 @@
         if (has_room(room, k, true) && (call.chosen < 0 || draw.at[k] < draw.at[call.chosen]))
             call.chosen = k;
     };
-    const bool pooled = pool_trust(room.now) > 0;
+    const bool pooled = room.pool_trust > 0;
     const auto consider_holders = [&](bool all) {
         if (held != groups_.end())
             for (const auto& [k, n] : held->second)
                 if (all || !pooled || near(servers_[k])) consider(k);
+        if (!told_.tells_peers) return;
         for (const auto& h : holders_.of(short_hash(call.group)))  // as peers told
             if (h.heard.ns > 0 && room.now - h.heard < holder_kept && (all || near(servers_[h.server])))
                 consider(h.server);
@@ -258,14 +259,14 @@
     if (!is_open(room, k) || is_slow(room, k)) return false;
     if (room.back_from >= 0) return k != room.back_from;
     const double share = share_of(room.fleet, k), load = load_on(servers_[k]);
-    const double spare = std::max(1.0, room.load), trust_pool = grouped ? pool_trust(room.now) : 0;
-    if (trust_pool > 0) {
+    const double spare = std::max(1.0, room.load);
+    if (grouped && room.pool_trust > 0) {
         const Server& s = servers_[k];
         const double own = (load + room.load - group_room * spare) / std::max(share * group_slack, 1e-9);
         const double pooled_share = share / std::max(room.fleet.total, 1e-9) * pool_total_;
         const double pooled = s.pooled + load - s.own_then + room.load - pool_room * spare;
         const double all = pooled / std::max(pooled_share * pool_slack, 1e-9);
-        return trust_pool * all + (1 - trust_pool) * std::min(own, 2.0) <= 1;
+        return room.pool_trust * all + (1 - room.pool_trust) * std::min(own, 2.0) <= 1;
     }
     if (grouped) return load + room.load <= share * group_slack + group_room * spare;
     return load + servers_[k].draw * room.load <= share;
@@ -902,7 +903,6 @@
     const int64_t round = round_at(now);
     tally_.add(round, static_cast<int>(told_.slot), told_.balancers, load_in(all_), own_counts());
     const double total = tally_.total.sane();
-    // The others have what is left, by weight.
     const peers::Rows rows = tally_.over(total / std::max(1, listed_active_) * told_over);
     out_.tell_peer(everyone_else, pack(peers::Kind::sum, round, tally_.tellers(), total, rows));
     take_sum(now, round, tally_.tellers(), total, rows);
@@ -915,8 +915,7 @@
     std::vector<double> told(servers_.size(), -1);
     double rest = total, weights = plain_weight_;
     for (const auto& [k, load] : rows) {
-        told[k] = load;
-        rest -= load;
+        told[k] = load, rest -= load;
         if (servers_[k].listed.condition == Condition::active) weights -= plain_weight(servers_[k]);
     }
     // Nothing is believed from one alone: a sum leads only so far from what was known, the next has another
@@ -985,9 +984,10 @@
     std::vector<peers::Held> rows;
     for (const auto& [group, server] : std::exchange(to_tell_, {})) {
         peers::Holders::Holder& h = holders_.at(group, server);
-        if (!std::exchange(h.to_tell, false) || rows.size() == peers::most_held) continue;
-        if (tell_credit_ < cost) h.told = Instant{};
-        if (tell_credit_ < cost) continue;
+        if (!std::exchange(h.to_tell, false)) continue;
+        const bool fits = tell_credit_ >= cost && rows.size() < peers::most_held;
+        if (!fits) h.told = Instant{};
+        if (!fits) continue;
         tell_credit_ -= cost;
         rows.push_back({group, peers::ShortNames::of(servers_[server].listed.server)});
     }
--- a/src/brain.h
+++ b/src/brain.h
@@ -193,6 +193,7 @@
         const Fleet& fleet;
         double load;
         int back_from;  // the server that failed a key which comes back in the pause
+        double pool_trust;
     };
     struct Draw {
         std::vector<double> at;  // for each server, exponential over its weight
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -71,7 +71,7 @@
     bool room_for_group(Instant t, const ServerId& id) {
         const Call c = a_call_of_a_group(t);
         const auto fleet = b.look(t, &c);
-        const Brain::Room room{t, c, fleet, b.load_of(c), -1};
+        const Brain::Room room{t, c, fleet, b.load_of(c), -1, b.pool_trust(t)};
         return b.has_room(room, b.index_.at(id), true);
     }
     size_t keys() { return b.keys_.size(); }
