--- a/tests/net/peers_by_hand.h
+++ b/tests/net/peers_by_hand.h
@@ -42,6 +42,26 @@
     return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
 }
 
+// A balancer that is the test's own: it hears what the others tell, and says what it likes.
+struct Datagrams {
+    Fd fd{::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+    std::string at;
+    Datagrams() {
+        const Address a = *Address::from("127.0.0.1:0");
+        assert(bind(fd.get(), reinterpret_cast<const sockaddr*>(&a.bytes), a.size) == 0);
+        at = port_of(fd.get());
+    }
+    void say(const std::string& to, const std::string& bytes) {
+        const Address a = *Address::from(to);
+        sendto(fd.get(), bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&a.bytes), a.size);
+    }
+    std::string hear() {
+        char bytes[2048];
+        const ssize_t n = recv(fd.get(), bytes, sizeof bytes, 0);
+        return n > 0 ? std::string(bytes, size_t(n)) : std::string();
+    }
+};
+
 struct Listener {
     std::string fault;
     Fd fd = listen_on(*Address::from("127.0.0.1:0"), fault);
