--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -27,6 +27,8 @@
     "  -f, --log-format F  text or json, a record a line (default: text)\n"
     "  -o, --operator FILE the operator's own file, in TOML (deploy/operator.example.toml)\n"
     "\n"
+    "Balancers speak to one another where the configuration has \"peers\" and permits it "
+    "(docs/migration.md).\n"
     "PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_OPS, where set, win over the file.\n"
     "Signals to serve: TERM and INT leave in an orderly way, USR1 prints the counters, USR2 turns\n"
     "recording on and off (the operator's file says where to), HUP reads the\n"
