A process starts though another still has its address for messages

Cause: Balancer::start threw where 'peers.own' was taken and no hand-over was under way. A process that is started beside one that stands still (SIGSTOP) or is stuck gets no hand-over, so it ended with 'Address already in use', and nobody served. Seen in a crowd of processes: stall at the instant of a hand-over, log 'the other process says nothing', then exit code 1.

One that is not this machine's is refused as before. Counters of descriptors and of buffered bytes are atomic, as the lab has connections on several threads.

--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -112,10 +112,16 @@
     else if (exchange_.list_told(ListKind::persisted, boot_.known); !clients_.listen(*listen, fault))
         throw Malformed("cannot listen on " + boot_.listen + ": " + fault);
     start_watch(known);
-    // The process before this one may not have let go yet: never two that speak under one number.
-    if (!speak_to_peers(boot_, fault) && !heir_)
-        throw Malformed("cannot speak to other balancers from 'peers.own', " + boot_.peers_own + ": " +
-                        fault);
+    // The process before this one may not have let go yet, or stand still, or be stuck: never two that speak
+    // under one number. No rule rests on messages, so it serves without them and tries again (look_after).
+    if (!speak_to_peers(boot_, fault)) {
+        if (!heir_ && !peers_.taken())
+            throw Malformed("cannot speak to other balancers from 'peers.own', " + boot_.peers_own + ": " +
+                            fault);
+        if (!heir_)
+            log_.warning() << "serving without a word to other balancers until " << boot_.peers_own
+                           << " is free: " << fault;
+    }
     if (!meeting.empty() && !testator_.open(meeting, fault))
         log_.warning() << "nothing can be handed over to the next process: " << meeting << ": " << fault;
     started_ = true;
--- a/src/net/line_conn.cpp
+++ b/src/net/line_conn.cpp
@@ -6,7 +6,7 @@
 
 namespace headrouter {
 
-size_t LineConn::all_buffered_ = 0;
+std::atomic<size_t> LineConn::all_buffered_ = 0;
 // Where what nobody wants goes. The kernel takes no place as well and writes to none, but a layer between
 // this process and the kernel may know neither.
 static char dropped[1 << 20];
--- a/src/net/line_conn.h
+++ b/src/net/line_conn.h
@@ -3,6 +3,7 @@
 #pragma once
 #include <ev.h>
 
+#include <atomic>
 #include <list>
 #include <memory>
 #include <string>
@@ -49,7 +50,7 @@
     size_t behind() const { return behind_; }  // bytes that have come after the line being handed over
     bool closed() const { return !fd_; }
     uint64_t id() const { return id_; }
-    static size_t buffered_by_all() { return all_buffered_; }
+    static size_t buffered_by_all() { return all_buffered_.load(std::memory_order_relaxed); }
 
    private:
     friend struct HandoverAccess;
@@ -70,7 +71,7 @@
     size_t sent_ = 0, counted_ = 0, behind_ = 0;
     bool connecting_ = false, paused_ = false, finishing_ = false, ended_sending_ = false;
     bool read_to_end_ = false, told_end_ = false;
-    static size_t all_buffered_;
+    static std::atomic<size_t> all_buffered_;  // as Fd::held_
 };
 
 // Connections that nobody looks after any more: they finish here, for a bounded time. Nothing is destroyed
--- a/src/net/peer_side.cpp
+++ b/src/net/peer_side.cpp
@@ -42,6 +42,7 @@
     Fd fd(::socket(mine.bytes.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const bool moves = !fd_ || own_ < 0 || !same(all_[static_cast<size_t>(own_)], mine.bytes);
     if (moves && (!fd || bind(fd.get(), reinterpret_cast<const sockaddr*>(&mine.bytes), mine.size) != 0)) {
+        taken_ = errno == EADDRINUSE;
         fault = std::strerror(errno);
         return false;
     }
--- a/src/net/peer_side.h
+++ b/src/net/peer_side.h
@@ -25,6 +25,7 @@
     bool open(const std::vector<Address>& all, int own, std::string& fault);
     void close();
     bool is_open() const { return static_cast<bool>(fd_); }
+    bool taken() const { return taken_; }  // the latest open() failed as somebody else has the address
     void tell(int slot, std::string_view bytes) override;
 
    private:
@@ -38,6 +39,7 @@
     ev_io reads_{};
     Fd fd_;
     int own_ = -1;
+    bool taken_ = false;
     std::vector<Address> all_;
     double may_tell_ = 0, may_hear_ = 0;
     Instant refilled_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -11,13 +11,13 @@
 
 namespace headrouter {
 
-int Fd::held_ = 0;
+std::atomic<int> Fd::held_ = 0;
 
 void Fd::close() {
     if (fd_ < 0) return;
     ::close(fd_);
     fd_ = -1;
-    --held_;
+    held_.fetch_sub(1, std::memory_order_relaxed);
 }
 
 std::optional<Address> Address::from(const std::string& host_port) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <atomic>
 #include <optional>
 #include <string>
 #include <utility>
@@ -13,7 +14,7 @@
 class Fd {
    public:
     Fd() = default;
-    explicit Fd(int fd) : fd_(fd) { held_ += fd >= 0; }
+    explicit Fd(int fd) : fd_(fd) { held_.fetch_add(fd >= 0, std::memory_order_relaxed); }
     Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
     Fd& operator=(Fd&& other) noexcept {
         if (this != &other) close(), fd_ = std::exchange(other.fd_, -1);
@@ -23,11 +24,11 @@
     void close();
     int get() const { return fd_; }
     explicit operator bool() const { return fd_ >= 0; }
-    static int held() { return held_; }
+    static int held() { return held_.load(std::memory_order_relaxed); }
 
    private:
     int fd_ = -1;
-    static int held_;
+    static std::atomic<int> held_;  // the lab has connections on several threads
 };
 
 struct Address {
--- a/tests/net/test_peers.cpp
+++ b/tests/net/test_peers.cpp
@@ -187,3 +187,22 @@
     const Deployment old = read_boot(config("", settings("", false)), Clock()).told.deployment;
     assert(!old.tells_peers && old.fall_multiple == 3);  // of before: taken as before
 }};
+
+// The process before it stands still, or is stuck: whoever starts beside it must not fail for a side channel.
+static Case one_whose_address_is_still_taken_serves_and_speaks_once_it_is_free([] {
+    Three t;
+    Boot boot = t.boot(0);
+    boot.listen = free_place();
+    Balancer late(t.loop, boot, t.clock, t.log);
+    late.start();
+    assert(has(t.said.str(), "serving without a word to other balancers"));
+    const auto is_taken = [&] {
+        const Address a = *Address::from(t.at[0]);
+        const Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+        return bind(fd.get(), reinterpret_cast<const sockaddr*>(&a.bytes), a.size) != 0;
+    };
+    t.balancers[0].reset();
+    assert(!is_taken() && t.until(is_taken));
+    boot.peers[0] = boot.peers_own = "192.0.2.1:9090";  // an address that is nobody's here is still refused
+    assert(has(refusal([&] { Balancer(t.loop, boot, t.clock, t.log).start(); }), "cannot speak"));
+});
