--- a/src/fleet/ledger.h
+++ b/src/fleet/ledger.h
@@ -1,8 +1,10 @@
 // Judges the four rules from what clients, servers and discovery saw, never from what a balancer says of
-// itself. Told in the order in which things were seen; `slack` is what sockets may add to a time limit.
+// itself. Told in the order in which things were seen; `slack` is what sockets may add to a time limit. May
+// be told from several threads.
 #pragma once
 #include <array>
 #include <map>
+#include <mutex>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -28,6 +30,14 @@
     void client_left(uint64_t call, bool waited);           // until its guard time
     void cut(Instant, uint64_t call, bool server_answers);  // a standing connection ended without MOVE or BYE
     void balancer_died(int balancer);
+    // What a process cannot be blamed for. A stalled one answers nobody it held or was offered meanwhile, and
+    // has read what it was told only when it goes on; one that left in order starts from nothing. On a path
+    // that is at fault a server sees beginnings and ends at other times than the balancer.
+    void excuse_held(int balancer);
+    void went_on(Instant stalled_from, Instant now, int balancer);
+    void started_anew(int balancer);
+    void absent(int balancer, bool);  // no process of it: a relay before it takes connections all the same
+    void path_at_fault(int balancer, int server, bool);
 
     // Servers: the first byte and the last byte of a call's first line; what it was answered; its end there.
     void leg_began(Instant, uint64_t call, int server, int balancer);
@@ -54,7 +64,7 @@
     struct Leg {
         int server;
         Instant began, ran_at, over_at;
-        bool ran = false, turned_away = false, over = false;
+        bool ran = false, turned_away = false, over = false, blind = false;
     };
     struct Call {
         Instant opened;
@@ -68,8 +78,13 @@
     void note(Rule, Instant, const std::string& what);
     void judge_overlap(Instant, uint64_t id, const Call&, size_t second);
 
+    bool blind(int balancer, int server) const { return blind_.count({balancer, server}) > 0; }
+
     const World* world_;
     Span slack_;
+    mutable std::mutex told_;
+    std::set<std::pair<int, int>> blind_;
+    std::set<int> absent_;
     std::unordered_map<uint64_t, Call> calls_;
     std::map<std::pair<int, int>, Instant> unwanted_;  // balancer and server: since when
     std::array<uint64_t, static_cast<size_t>(Rule::how_many)> broken_{};
--- a/src/fleet/outcome.cpp
+++ b/src/fleet/outcome.cpp
@@ -24,4 +24,51 @@
     }
 }
 
+double Outcome::service_between(Instant from, Instant until) const {
+    double wanted = 0, had = 0;
+    for (size_t s = 0; s < asked_each.size(); ++s) {
+        const Instant begin = Instant{} + seconds(static_cast<double>(s));
+        if (begin < from || begin + seconds(1) > until) continue;
+        wanted += asked_each[s], had += served_each[s];
+    }
+    return wanted > 0 ? had / wanted : 0;
+}
+
+// Round the faults: from when the run is judged to the first, from the first to the end of the last, and
+// between eight and twelve seconds after that, when all should be as before.
+void Outcome::judge_spread(const World& w, const SpreadLog& log) {
+    std::vector<double> weights;
+    double all = 0;
+    for (const int k : kinds_of(w))
+        weights.push_back(w.kinds[static_cast<size_t>(k)].weight), all += weights.back();
+    for (double& weight : weights) weight *= static_cast<double>(weights.size()) / std::max(all, 1e-9);
+    const Instant begin = Instant{} + w.judged_from, end = Instant{} + w.length;
+    spread = spread_of(log, weights, begin, end, seed);
+    load_each = log.loads();
+    if (strikes.empty()) return;
+    Instant first = end, last{};
+    for (const Strike& s : strikes) first = std::min(first, s.from), last = std::max(last, s.until);
+    const auto stretch = [&](const char* name, Instant from, Instant until) {
+        if (until > end) until = end;
+        if (from < until)
+            stretches.push_back({name, from, until, spread_of(log, weights, from, until, seed),
+                                 service_between(from, until)});
+    };
+    stretch("before", std::min(begin, first - seconds(4)), first);
+    stretch("during", first, std::max(last, first + seconds(1)));
+    stretch("after", last + seconds(8), last + seconds(12));
+}
+
+void Outcome::add(const Outcome& o) {
+    asked += o.asked, served += o.served;
+    const auto sum = [](std::vector<double>& a, const std::vector<double>& b) {
+        if (a.size() < b.size()) a.resize(b.size());
+        for (size_t k = 0; k < b.size(); ++k) a[k] += b[k];
+    };
+    sum(asked_each, o.asked_each), sum(served_each, o.served_each);
+    for (uint64_t Outcome::*count : {&Outcome::up, &Outcome::up_in_time, &Outcome::busy, &Outcome::failed,
+                                     &Outcome::moved, &Outcome::broken, &Outcome::gave_up, &Outcome::legs})
+        this->*count += o.*count;
+}
+
 }  // namespace headrouter::fleet
--- a/src/fleet/outcome.h
+++ b/src/fleet/outcome.h
@@ -6,6 +6,7 @@
 
 #include "fleet/ledger.h"
 #include "fleet/script.h"
+#include "fleet/spread.h"
 
 namespace headrouter::fleet {
 
@@ -31,6 +32,22 @@
     double wall_seconds = 0;
     uint64_t events = 0;
 
+    // How the fleet of balancers did as a whole: over the judged time and round the faults, if there are any.
+    Spread spread;
+    struct Stretch {
+        std::string name;  // "before", "during", "after"
+        Instant from, until;
+        Spread spread;
+        double service = 0;
+    };
+    std::vector<Stretch> stretches;
+    std::vector<std::vector<float>> load_each;  // at each spread_every, by server: load over weight; -1: down
+    std::vector<Strike> strikes;
+    double datagrams = 0, datagram_bytes = 0;  // a second and balancer, sent
+    double cpu = 0;                            // seconds of it a second and balancer; on sockets
+    int ended_by_themselves = 0;               // processes
+    uint64_t garbled = 0;                      // lines that reached a client or a server and nobody had sent
+
     double service() const { return asked > 0 ? served / asked : 0; }
     uint64_t rules_broken() const {
         uint64_t all = 0;
@@ -40,6 +57,9 @@
     // One sample: what is asked and well served now, in revenue.
     void sample(const World&, Instant since_start, double asked_now, double served_now);
     void judge(const World&, const Ledger&);
+    void judge_spread(const World&, const SpreadLog&);
+    double service_between(Instant from, Instant until) const;  // whole seconds within
+    void add(const Outcome& other);                             // what another thread's clients met
 };
 
 // Whether a server's message delay, or a client's, serves a type of traffic well.
--- a/src/fleet/script.cpp
+++ b/src/fleet/script.cpp
@@ -3,16 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/pcg32.h"
-
 namespace headrouter::fleet {
 
-namespace {
-
-using What = Deed::What;
-constexpr int drain_parts = 10;      // a draining server sends its connections away in so many steps
-constexpr double drain_share = 0.6;  // of a deploy's step; the rest is the restart
-
 std::vector<int> some_of(int all, double part, Pcg32& chance) {
     std::vector<int> order(all);
     for (int k = 0; k < all; ++k) order[k] = k;
@@ -22,6 +14,12 @@
     return order;
 }
 
+namespace {
+
+using What = Deed::What;
+constexpr int drain_parts = 10;      // a draining server sends its connections away in so many steps
+constexpr double drain_share = 0.6;  // of a deploy's step; the rest is the restart
+
 class Layout {
    public:
     Layout(const World& w, uint64_t seed) : w_(w), chance_(seed, 23) {}
--- a/src/fleet/script.h
+++ b/src/fleet/script.h
@@ -3,6 +3,7 @@
 #pragma once
 #include <vector>
 
+#include "base/pcg32.h"
 #include "fleet/world.h"
 
 namespace headrouter::fleet {
@@ -36,6 +37,9 @@
     double size = 0;
 };
 
+// That part of so many, one at least, drawn; in the order in which they were drawn.
+std::vector<int> some_of(int all, double part, Pcg32&);
+
 // In the order of time; equal times in the order of the troubles.
 std::vector<Deed> script_of(const World&, uint64_t seed);
 
--- a/src/fleet/world.cpp
+++ b/src/fleet/world.cpp
@@ -57,6 +57,8 @@
     d.groups = w.traffic.groups > 0;
     d.advises = w.advises;
     d.max_advice = w.advises ? w.max_advice : Span{};
+    if (w.messages || w.tells_size) d.balancers = w.balancers;
+    d.tells_peers = w.messages && w.balancers > 1;
     for (const MachineKind& k : w.kinds) d.cold_time = std::max(d.cold_time, k.cold_time);
     return d;
 }
@@ -64,13 +66,14 @@
 std::string settings_json(const World& w, int balancer) {
     const Deployment d = deployment_of(w, balancer);
     std::ostringstream o;
-    o << R"({"slotNo":)" << balancer << R"(,"az":)" << d.zone
-      << R"(,"discovery":"push","stepNs":0,"ceilings":{"maxLegs":)" << d.max_legs << R"(,"dialTimeoutNs":)"
-      << w.connect_time.ns << R"(,"retryAfter":)" << (d.advises ? "true" : "false")
-      << R"(,"maxRetryAfterNs":)" << d.max_advice.ns << R"(},"invariants":{"coldNs":)" << d.cold_time.ns
-      << R"(},"charges":{"crossZone":)" << w.cross_price << R"(},"domain":{"mode":"proxy","groups":)"
-      << (d.groups ? "true" : "false") << R"(,"tellsDelay":)" << (w.tells_delay ? "true" : "false")
-      << R"(,"messageAimNs":[)";
+    o << R"({"slotNo":)" << balancer;
+    if (d.balancers > 1) o << R"(,"groupSize":)" << d.balancers;
+    o << R"(,"az":)" << d.zone << R"(,"discovery":"push","stepNs":0,"ceilings":{"maxLegs":)" << d.max_legs
+      << R"(,"dialTimeoutNs":)" << w.connect_time.ns << R"(,"retryAfter":)" << (d.advises ? "true" : "false")
+      << R"(,"maxRetryAfterNs":)" << d.max_advice.ns << (d.tells_peers ? R"(,"peers":true)" : "")
+      << R"(},"invariants":{"coldNs":)" << d.cold_time.ns << R"(},"charges":{"crossZone":)" << w.cross_price
+      << R"(},"domain":{"mode":"proxy","groups":)" << (d.groups ? "true" : "false") << R"(,"tellsDelay":)"
+      << (w.tells_delay ? "true" : "false") << R"(,"messageAimNs":[)";
     for (size_t k = 0; k < d.types.size(); ++k) o << (k ? "," : "") << d.types[k].message_target.ns;
     o << R"(]},"failureDomains":[)";
     for (int z = 0; z < w.zones; ++z) o << (z ? "," : "") << "\"z" << z << '"';
@@ -102,6 +105,17 @@
     return kinds;
 }
 
+// By a low-discrepancy order, so that quiet and busy ones are spread over the numbers.
+std::vector<double> traffic_shares(const World& w) {
+    constexpr double golden = 0.6180339887498949;
+    std::vector<double> shares;
+    for (int b = 0; b < w.balancers; ++b) {
+        const double at = std::fmod((b + 1) * golden, 1.0);
+        shares.push_back(at < w.quiet ? 0 : std::pow(w.skew, (at - w.quiet) / std::max(1e-9, 1 - w.quiet)));
+    }
+    return shares;
+}
+
 double capacity_of(const World& w) {
     double all = 0;
     for (const int k : kinds_of(w)) all += w.kinds[k].cores * w.kinds[k].speed * 1e6;
--- a/src/fleet/world.h
+++ b/src/fleet/world.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "brain.h"
+#include "fleet/fault.h"
 
 namespace headrouter::fleet {
 
@@ -83,6 +84,12 @@
     double fall_multiple = 3;
     Traffic traffic;
     std::vector<Trouble> troubles;
+    bool messages = false;          // balancers tell one another
+    bool tells_size = false;        // each is told how many they are; always so with messages
+    Span peer_latency = millis(2);  // of a datagram between two of them
+    std::vector<Fault> faults;
+    double skew = 1;   // the busiest balancer gets so many times the traffic of the least busy
+    double quiet = 0;  // the part of the balancers that clients never come to
     Span length = seconds(60), judged_from = seconds(10);
 };
 
@@ -96,6 +103,8 @@
 
 // Kind of each server: shares rounded so that they add up, the same for every seed.
 std::vector<int> kinds_of(const World&);
+// How much of the clients each balancer gets, beside the others; the same for every seed.
+std::vector<double> traffic_shares(const World&);
 // Work a second of all machines, warm, in microseconds.
 double capacity_of(const World&);
 std::string server_name(int server);  // "s-0007"
--- /dev/null
+++ b/src/lab/crowd.cpp
@@ -0,0 +1,450 @@
+#include "lab/crowd.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/pointer.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+#include <cinttypes>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <stdexcept>
+
+#include "lab/child.h"
+#include "lab/run_folder.h"
+#include "net/clock.h"
+#include "standin/asker.h"
+#include "standin/crowd_rig.h"
+#include "wire/malformed.h"
+
+namespace headrouter::lab {
+using namespace fleet;
+
+namespace {
+
+constexpr Span start_patience = seconds(30), front_notice = seconds(1), front_returns = millis(200);
+// New connections go on coming for a while after SIGTERM, as on the platform; then the process has its time.
+constexpr Span front_learns_of_leaving = millis(300), leaving_patience = seconds(5);
+constexpr Span handover_patience = seconds(6), step = millis(2), settling = millis(300);
+constexpr Span begin_ahead = millis(100), reap_every = millis(50);
+constexpr Span late_by = millis(100), too_late = millis(500);
+constexpr int starts_at_once = 16, log_tail = 4;
+
+// The configuration with some of its settings changed: "ceilings.maxLegs" to a piece of JSON.
+std::string with_settings(const std::string& config,
+                          const std::vector<std::pair<std::string, std::string>>& sets) {
+    rapidjson::Document doc;
+    doc.Parse(config.c_str());
+    for (const auto& [path, json] : sets) {
+        std::string pointer = "/settings/" + path;
+        for (char& c : pointer)
+            if (c == '.') c = '/';
+        rapidjson::Document value(&doc.GetAllocator());
+        if (value.Parse(json.c_str()).HasParseError()) throw Malformed("'" + json + "' is no JSON");
+        rapidjson::Pointer(pointer.c_str()).Set(doc, value);
+    }
+    rapidjson::StringBuffer text;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+    doc.Accept(writer);
+    return {text.GetString(), text.GetSize()};
+}
+
+// The wall clock that a balancer reads, beside the true one.
+class WrongClock {
+   public:
+    explicit WrongClock(const std::string& path) : path_(path) {
+        std::ofstream out(path, std::ios::binary);
+        const int64_t none = 0;
+        out.write(reinterpret_cast<const char*>(&none), sizeof none);
+    }
+    const std::string& path() const { return path_; }
+    void set(Span ahead) const {
+        std::fstream out(path_, std::ios::in | std::ios::out | std::ios::binary);
+        out.write(reinterpret_cast<const char*>(&ahead.ns), sizeof ahead.ns);
+    }
+
+   private:
+    std::string path_;
+};
+
+// All processes of all balancers, and what the script does to them.
+class Processes {
+   public:
+    Processes(const World& w, const CrowdPlay& play, standin::CrowdRig& rig, std::string folder)
+        : w_(w),
+          play_(play),
+          rig_(rig),
+          folder_(std::move(folder)),
+          seats_(static_cast<size_t>(w.balancers)) {
+        for (const Strike& s : rig.strikes()) has_clocks_ = has_clocks_ || s.fault.kind == FaultKind::clock;
+        if (has_clocks_ && access(play.clock.c_str(), R_OK) != 0)
+            throw std::runtime_error("'" + play.clock + "', the library of clocks, is not there");
+    }
+
+    // All of them, a few at a time: a process takes milliseconds, and the first are served meanwhile.
+    bool start_all(const std::function<bool()>& stopped) {
+        const Instant give_up = Clock::now() + start_patience;
+        int begun = 0, ready = 0;
+        std::vector<char> is_ready(seats_.size());
+        while (ready < w_.balancers) {
+            if (stopped()) return false;
+            for (; begun < w_.balancers && begun - ready < starts_at_once; ++begun) start(begun);
+            for (int b = 0; b < begun; ++b) {
+                Seat& s = seats_[static_cast<size_t>(b)];
+                if (is_ready[static_cast<size_t>(b)]) continue;
+                if (takes_clients(s)) is_ready[static_cast<size_t>(b)] = 1, ++ready;
+                if (s.life && s.life->crashed())
+                    throw std::runtime_error("a balancer ended by " + s.life->ended_how() + ": " +
+                                             last_lines(s.life->log(), log_tail));
+            }
+            if (Clock::now() > give_up)
+                throw std::runtime_error("only " + std::to_string(ready) + " balancers are ready after 30 s");
+            usleep(1000);
+        }
+        return true;
+    }
+
+    void lay_out() {
+        for (const Strike& s : rig_.strikes())
+            for (const int b : s.balancers) lay_out(s, b);
+        for (const Deed& d : rig_.deeds()) {
+            if (d.what == Deed::What::balancer_dies) at(d.at, [this, b = d.target] { kill(b); });
+            if (d.what == Deed::What::balancer_starts) at(d.at, [this, b = d.target] { come_back(b); });
+        }
+    }
+
+    void turn() {
+        const Instant now = rig_.now();
+        while (!due_.empty() && due_.begin()->first <= now) {
+            const Span late = now - due_.begin()->first;
+            worst_late_ = std::max(worst_late_, late);
+            const auto what = std::move(due_.begin()->second);
+            due_.erase(due_.begin());
+            what();
+        }
+        if (now - reaped_ < reap_every) return;
+        reaped_ = now;
+        for (int b = 0; b < w_.balancers; ++b) look_after(b);
+    }
+
+    // Ended by the run, not by itself; stopped ones too.
+    void end_all() {
+        over_ = true;
+        for (Seat& s : seats_)
+            for (Child* c : {s.life.get(), s.older.get()})
+                if (c) c->signal(SIGCONT), c->ask_to_leave();
+        const Instant last = Clock::now() + leaving_patience;
+        bool any = true;
+        while (any && Clock::now() < last) {
+            any = false;
+            for (int b = 0; b < w_.balancers; ++b) {
+                Seat& s = seats_[static_cast<size_t>(b)];
+                for (Child* c : {s.life.get(), s.older.get()}) {
+                    if (!c || !c->runs()) continue;
+                    if (c->crashed() && c->ended_how() != "exit code 0") note_crash(b, *c);
+                    any = any || c->runs();
+                }
+            }
+            usleep(2000);
+        }
+        for (Seat& s : seats_) retire(s.life), retire(s.older);
+    }
+
+    double cpu_seconds() const { return cpu_; }
+    int crashes() const { return crashes_; }
+    const std::vector<std::string>& said() const { return said_; }
+    Span worst_late() const { return worst_late_; }
+
+   private:
+    struct Seat {
+        std::unique_ptr<Child> life, older;  // `older` hands over or leaves beside its successor
+        std::unique_ptr<WrongClock> clock;
+        standin::Asker asker;
+        std::string ops;
+        int lives = 0, stalls = 0;
+        bool leaving = false, returns = false;  // told to leave; is started again when it has
+        Instant stalled_from, leave_by;
+        std::vector<std::pair<std::string, std::string>> sets;  // of the latest reload
+        bool up = false;                                        // the front has been told
+        Instant awaited;                                        // until when a successor has to say yes
+    };
+
+    void at(Instant when, std::function<void()> what) { due_.emplace(when, std::move(what)); }
+    Seat& seat(int b) { return seats_[static_cast<size_t>(b)]; }
+
+    void start(int b, const std::string& program = {}) {
+        Seat& s = seat(b);
+        const std::string name = rig_.seat(b).name + "." + std::to_string(s.lives);
+        s.ops = rig_.ops(b, s.lives);
+        s.life = std::make_unique<Child>(program.empty() ? play_.program : program, folder_, name,
+                                         play_.operator_file);
+        if (has_clocks_) {
+            if (!s.clock)
+                s.clock = std::make_unique<WrongClock>(folder_ + "/" + rig_.seat(b).name + ".clock");
+            s.life->set_environment({{"LD_PRELOAD", play_.clock}, {"HEADROUTER_CLOCK", s.clock->path()}});
+        }
+        s.asker.close();
+        s.life->start(with_settings(rig_.config(b, s.lives++), s.sets));
+    }
+
+    bool takes_clients(Seat& s) { return s.asker.heard(s.ops, "STATUS\r\n", "done"); }
+
+    void retire(std::unique_ptr<Child>& c) {
+        if (!c) return;
+        c->kill();
+        cpu_ += c->cpu_seconds();
+        c.reset();
+    }
+
+    void lay_out(const Strike& s, int b) {
+        switch (s.fault.kind) {
+            case FaultKind::stall:
+                at(s.from, [this, b] { stall(b); });
+                return at(s.until, [this, b] { go_on(b); });
+            case FaultKind::kill:
+                at(s.from, [this, b] { kill(b); });
+                return at(s.until, [this, b] { come_back(b); });
+            case FaultKind::leave: return at(s.from, [this, b, back = s.until] { leave(b, back); });
+            case FaultKind::second:
+                return at(s.from, [this, b, program = s.fault.program] { succeed(b, program); });
+            case FaultKind::reload:
+                at(s.from, [this, b, sets = s.fault.sets] { reload(b, sets); });
+                if (s.fault.lasts.ns > 0) at(s.until, [this, b] { reload(b, {}); });
+                return;
+            case FaultKind::clock:
+                at(s.from, [this, b, ahead = seconds(s.fault.size)] { seat(b).clock->set(ahead); });
+                return at(s.until, [this, b] { seat(b).clock->set(Span{}); });
+            default: return;
+        }
+    }
+
+    // Strikes may overlap: it goes on when the last of them is over.
+    void stall(int b) {
+        Seat& s = seat(b);
+        if (s.stalls++ > 0) return;
+        s.stalled_from = rig_.now();
+        rig_.ledger().excuse_held(b);
+        for (Child* c : {s.life.get(), s.older.get()})
+            if (c) c->signal(SIGSTOP);
+        at(rig_.now() + front_notice, [this, b] {
+            if (seat(b).stalls > 0) front(b, false);
+        });
+    }
+
+    void go_on(int b) {
+        Seat& s = seat(b);
+        if (s.stalls == 0 || --s.stalls > 0) return;
+        rig_.ledger().went_on(s.stalled_from, rig_.now(), b);
+        for (Child* c : {s.life.get(), s.older.get()})
+            if (c) c->signal(SIGCONT);
+    }
+
+    void kill(int b) {
+        Seat& s = seat(b);
+        rig_.dies(b);
+        retire(s.life), retire(s.older);
+        s.stalls = 0;
+        s.leaving = s.returns = false;
+        s.awaited = Instant{};
+        at(rig_.now() + front_notice, [this, b] {
+            if (!seat(b).life) front(b, false);
+        });
+    }
+
+    void come_back(int b) {
+        if (!seat(b).life && !over_) start(b);
+    }
+
+    void leave(int b, Instant back) {
+        Seat& s = seat(b);
+        if (!s.life || s.leaving) return;
+        s.leaving = true;
+        s.leave_by = rig_.now() + leaving_patience;
+        s.life->ask_to_leave();
+        at(rig_.now() + front_learns_of_leaving, [this, b] { front(b, false); });
+        at(std::max(back, rig_.now()), [this, b] {
+            seat(b).returns = true;
+            if (!seat(b).leaving) come_back(b);
+        });
+    }
+
+    void succeed(int b, const std::string& program) {
+        Seat& s = seat(b);
+        if (!s.life || s.leaving || s.older) return;
+        s.older = std::move(s.life);
+        s.awaited = rig_.now() + handover_patience;
+        start(b, program);
+    }
+
+    void reload(int b, const std::vector<std::pair<std::string, std::string>>& sets) {
+        Seat& s = seat(b);
+        s.sets = sets;
+        if (!s.life) return;
+        s.life->configure(with_settings(rig_.config(b, s.lives - 1), s.sets));
+        s.life->signal(SIGHUP);
+    }
+
+    // A process that came back before the front had missed it was never away for that one.
+    void front(int b, bool on) {
+        seat(b).up = on;
+        rig_.front_sends(b, on);
+    }
+
+    void look_after(int b) {
+        Seat& s = seat(b);
+        if (s.older && s.older->crashed()) {
+            if (s.older->ended_how() != "exit code 0") note_crash(b, *s.older);
+            retire(s.older);
+        } else if (s.older && s.awaited.ns == 0 && rig_.now() > s.leave_by && s.stalls == 0) {
+            said_.push_back(rig_.seat(b).name + " did not leave in time after it had handed over");
+            ++crashes_;
+            retire(s.older);
+        }
+        if (!s.life) return;
+        if (s.life->crashed()) {
+            const bool in_order = s.leaving && s.life->ended_how() == "exit code 0";
+            if (in_order) {
+                rig_.ledger().started_anew(b);
+                rig_.ledger().absent(b, true);
+            } else {
+                note_crash(b, *s.life);
+                rig_.dies(b);
+            }
+            retire(s.life);
+            s.leaving = false;
+            front(b, false);
+            if (in_order && std::exchange(s.returns, false)) come_back(b);
+            return;
+        }
+        if (s.leaving) {
+            if (rig_.now() < s.leave_by || s.stalls > 0) return;
+            said_.push_back(rig_.seat(b).name + " did not leave in time");
+            ++crashes_;
+            return kill(b);
+        }
+        if (s.stalls > 0) return;
+        if (s.awaited.ns > 0) {
+            if (takes_clients(s)) {
+                s.awaited = Instant{};
+                s.leave_by = rig_.now() + leaving_patience;
+                if (s.older) s.older->ask_to_leave();
+            } else if (rig_.now() > s.awaited) {
+                said_.push_back(rig_.seat(b).name + ": its successor did not take over in time");
+                ++crashes_;
+                s.awaited = Instant{};
+            }
+            return;
+        }
+        if (!s.up && takes_clients(s)) front(b, true);
+    }
+
+    void note_crash(int b, const Child& c) {
+        ++crashes_;
+        said_.push_back(rig_.seat(b).name + " ended by itself, " + c.ended_how() + ": " +
+                        last_lines(c.log(), log_tail));
+    }
+
+    const World& w_;
+    const CrowdPlay& play_;
+    standin::CrowdRig& rig_;
+    std::string folder_;
+    std::vector<Seat> seats_;
+    std::multimap<Instant, std::function<void()>> due_;
+    bool has_clocks_ = false, over_ = false;
+    Instant reaped_;
+    double cpu_ = 0;
+    int crashes_ = 0;
+    std::vector<std::string> said_;
+    Span worst_late_;
+};
+
+}  // namespace
+
+Outcome run_crowd(const World& w, const std::string& arm, uint64_t seed, const CrowdPlay& play) {
+    const Instant began = Clock::now();
+    std::signal(SIGPIPE, SIG_IGN);
+    if (access(play.program.c_str(), X_OK) != 0)
+        throw std::runtime_error("'" + play.program + "' cannot be run");
+    if (w.balancers > crowd_balancers || w.servers > crowd_servers)
+        throw std::runtime_error("a crowd has at most " + std::to_string(crowd_balancers) +
+                                 " balancers and " + std::to_string(crowd_servers) + " servers");
+    const RunFolder folder(play.log_folder);
+    standin::CrowdRig rig(w, seed);
+    if (play.datagrams) rig.watch_datagrams_by(play.datagrams);
+    Processes processes(w, play, rig, folder.path);
+    const auto stopped = [&] { return play.stop && play.stop->load(); };
+    rig.open();
+    const bool ready = processes.start_all(stopped);
+    rig.begin(Clock::now() + begin_ahead);
+    for (int b = 0; b < w.balancers; ++b) rig.front_sends(b, true);
+    if (ready) processes.lay_out();
+    while (!rig.finished() && !stopped()) {
+        processes.turn();
+        usleep(static_cast<useconds_t>(step.ns / 1000));
+    }
+    const bool partial = !rig.finished();
+    const double cores_used = in_seconds(rig.now() - Instant{});
+    usleep(static_cast<useconds_t>(settling.ns / 1000));
+    processes.end_all();
+    Outcome out = rig.end();
+    out.arm = arm;
+    out.partial = partial;
+    out.cpu = processes.cpu_seconds() / std::max(1.0, cores_used) / w.balancers;
+    out.ended_by_themselves = processes.crashes();
+    for (const std::string& what : processes.said()) out.examples.push_back(what);
+    // One that ends by itself loses what it held.
+    out.rules[static_cast<size_t>(Rule::call_lost)] += static_cast<uint64_t>(processes.crashes());
+    if (out.garbled > 0) {
+        out.rules[static_cast<size_t>(Rule::call_lost)] += out.garbled;
+        out.examples.push_back(std::to_string(out.garbled) + " lines arrived that nobody had sent");
+    }
+    if (processes.worst_late() > too_late && out.not_judged.empty())
+        out.not_judged = "the lab dealt with processes late by " +
+                         std::to_string(processes.worst_late().ns / 1'000'000) + " ms";
+    std::ofstream(folder.path + "/timeline.txt") << timeline_of(out.strikes);
+    out.wall_seconds = in_seconds(Clock::now() - began);
+    return out;
+}
+
+std::string crowd_table(const std::vector<Outcome>& all) {
+    std::ostringstream o;
+    char line[400];
+    const auto spread_row = [&](const std::string& name, const Spread& s, double service) {
+        std::snprintf(line, sizeof line,
+                      "%-26s %7.4f  %6.3f %6.3f %6.3f %6.2f  %6.2f %6.2f %6.2f  %6.4f  %5.1f %5.1f  %6.0f\n",
+                      name.c_str(), service, s.cv, s.dice, s.seeing, s.over_dice(), s.most, s.worst, s.least,
+                      s.idle, s.herd, s.herd_dice, s.standing);
+        o << line;
+    };
+    std::snprintf(line, sizeof line, "%-26s %7s  %6s %6s %6s %6s  %6s %6s %6s  %6s  %5s %5s  %6s\n", "run",
+                  "service", "cv", "dice", "seeing", "/dice", "most", "worst", "least", "idle", "herd",
+                  "dice", "up");
+    o << line;
+    for (const Outcome& out : all) {
+        spread_row(out.arm + ", seed " + std::to_string(out.seed), out.spread, out.service());
+        for (const Outcome::Stretch& s : out.stretches) spread_row("  " + s.name, s.spread, s.service);
+        const double calls = std::max<double>(1, static_cast<double>(out.calls));
+        std::snprintf(line, sizeof line,
+                      "  %" PRIu64
+                      " calls, %.4f not set up, %.4f moves a call; messages %.2f datagrams, %.1f "
+                      "bytes a second and balancer; CPU %.2f ms a second and balancer; rules broken %" PRIu64
+                      ", ended by themselves %d%s\n",
+                      out.calls, static_cast<double>(out.busy + out.failed) / calls,
+                      static_cast<double>(out.moved) / calls, out.datagrams, out.datagram_bytes,
+                      out.cpu * 1000, out.rules_broken(), out.ended_by_themselves,
+                      out.partial ? ", partial" : "");
+        o << line;
+        if (!out.not_judged.empty()) o << "  not judged: " << out.not_judged << "\n";
+        for (const std::string& e : out.examples) o << "  " << e << "\n";
+    }
+    return o.str();
+}
+
+}  // namespace headrouter::lab
--- /dev/null
+++ b/src/lab/crowd.h
@@ -0,0 +1,31 @@
+// An experiment's run against a crowd of real balancers: up to 300 processes of the program, or of two
+// programs, on loopback; everything else a stand-in on this process's threads, faults by script.
+#pragma once
+#include <atomic>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "fleet/outcome.h"
+
+namespace headrouter::lab {
+
+constexpr int crowd_balancers = 300, crowd_servers = 90;
+
+struct CrowdPlay {
+    std::string program;     // the balancer
+    std::string clock;       // the library that sets wall clocks wrong; only loaded where a script has that
+    std::string log_folder;  // where logs and configurations go; empty: a folder of the run's own, removed
+    std::string operator_file;
+    const std::atomic<bool>* stop = nullptr;
+    std::function<void(Instant, int from, int to, std::string_view)> datagrams;  // sees each, on its thread
+};
+
+// Throws std::runtime_error where the run cannot begin at all: no program, no addresses, one that never gets
+// ready.
+fleet::Outcome run_crowd(const fleet::World&, const std::string& arm, uint64_t seed, const CrowdPlay&);
+
+// A table of the outcomes, an arm a line, and the stretches round the faults.
+std::string crowd_table(const std::vector<fleet::Outcome>&);
+
+}  // namespace headrouter::lab
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -1,5 +1,7 @@
 #include "lab/experiment.h"
 
+#include <sstream>
+
 #include "toml/fields.h"
 
 namespace headrouter::lab {
@@ -35,6 +37,11 @@
     f.span("connect_time", w.connect_time, millis(10), seconds(60));
     f.flag("tells_load", w.tells_load);
     f.flag("tells_delay", w.tells_delay);
+    f.flag("messages", w.messages);
+    f.flag("tells_size", w.tells_size);
+    f.span("peer_latency", w.peer_latency, millis(0.1), seconds(10));
+    f.number("skew", w.skew, 1, 1000);
+    f.number("quiet", w.quiet, 0, 0.99);
     const auto kinds = f.tables("kind");
     if (!kinds.empty()) w.kinds.clear();
     for (const Fields& k : kinds) read_kind(k, w.kinds.emplace_back());
@@ -113,6 +120,47 @@
     f.finish();
 }
 
+// A TOML value of a reload's settings as JSON; the platform's settings hold no others.
+std::string as_json(const toml::node& value) {
+    std::ostringstream o;
+    if (const auto* text = value.as_string()) o << '"' << text->get() << '"';
+    if (const auto* whole = value.as_integer()) o << whole->get();
+    if (const auto* real = value.as_floating_point()) o << real->get();
+    if (const auto* flag = value.as_boolean()) o << (flag->get() ? "true" : "false");
+    return o.str();
+}
+
+void read_fault(Fields f, const World& w, Fault& fault) {
+    if (!f.has("kind")) f.wrong("kind", "a kind of fault");
+    f.one_of<FaultKind>("kind", fault.kind, fault_words());
+    Span at;
+    f.span("at", at, no_time, w.length);
+    fault.at = Instant{} + at;
+    f.span("lasts", fault.lasts, no_time, long_time);
+    f.number("part", fault.part, 0.0001, 1);
+    f.number("servers", fault.servers, 0.0001, 1);
+    for (const double number : f.numbers("numbers", 0, w.balancers - 1))
+        fault.numbers.push_back(static_cast<int>(number));
+    const bool is_share = fault.kind == FaultKind::drop || fault.kind == FaultKind::repeat ||
+                          fault.kind == FaultKind::reorder || fault.kind == FaultKind::spoil;
+    const bool is_clock = fault.kind == FaultKind::clock;
+    if (fault.kind == FaultKind::alone) fault.size = 2;
+    f.number("size", fault.size, is_clock ? -1e6 : 0, is_share ? 1 : 1e6);
+    f.span("span", fault.span, no_time, long_time);
+    f.span("spread", fault.spread, no_time, long_time);
+    f.one_of<Way>("way", fault.way, {{"both", Way::both}, {"out", Way::out}, {"in", Way::in}});
+    f.text("program", fault.program);
+    for (Fields s : f.table("set"))
+        for (const auto& [key, node] : s.all()) {
+            const std::string json = as_json(node);
+            if (json.empty()) s.wrong(std::string(key.str()), "a text, a number or a flag");
+            fault.sets.emplace_back(std::string(key.str()), json);
+        }
+    if (is_of_datagrams(fault.kind) && !w.messages)
+        f.wrong("kind", "one that is not of messages, as [fleet] has none");
+    f.finish();
+}
+
 World world_from(Fields& f, const std::string& file) {
     World w;
     f.span("length", w.length, seconds(1), seconds(24 * 3600));
@@ -123,6 +171,14 @@
     for (const Fields& t : f.table("list")) read_list(t, w);
     for (const Fields& t : f.table("rules")) read_rules(t, w);
     for (const Fields& t : f.tables("trouble")) read_trouble(t, w, w.troubles.emplace_back());
+    for (const Fields& t : f.tables("fault")) read_fault(t, w, w.faults.emplace_back());
+    if (double standing = 0; f.has("standing")) {  // connections a balancer, in place of traffic.use
+        f.number("standing", standing, 0.001, 1e5);
+        double load = 0, hold = 0;
+        for (const TypeRow& t : w.traffic.types)
+            load += t.share * t.load * 1000 * in_seconds(t.hold), hold += t.share * in_seconds(t.hold);
+        w.traffic.use = standing * w.balancers * load / (capacity_of(w) * hold);
+    }
     double least_load = 1e9;
     for (const TypeRow& t : w.traffic.types) least_load = std::min(least_load, t.load);
     const double standing = w.traffic.use * capacity_of(w) / (least_load * 1000);
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "capture/recorder.h"
+#include "lab/crowd.h"
 #include "lab/demo.h"
 #include "lab/experiment.h"
 #include "lab/from_capture.h"
@@ -27,17 +28,17 @@
 // What a broken rule, a wrong file and a run that could not be judged end the lab with.
 constexpr int rules_broken = 1, wrong_input = 2, not_judged = 3, stopped = 130;
 
-// The balancer that was built beside the lab.
-std::string beside(const char* own) {
+// What was built beside the lab.
+std::string beside(const char* own, const char* name) {
     std::string path = own;
     char exact[4096];
     if (const ssize_t n = readlink("/proc/self/exe", exact, sizeof exact); n > 0)
         path.assign(exact, static_cast<size_t>(n));
-    return path.substr(0, path.rfind('/') + 1) + "headrouter";
+    return path.substr(0, path.rfind('/') + 1) + name;
 }
 
 struct Asked {
-    std::string file, on = "model", out, program, record;
+    std::string file, on = "model", out, program, other, clock, logs, record;
     std::vector<std::string> captures;
     int threads = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
     int seeds = 0;
@@ -87,6 +88,12 @@
         if (!out) throw Malformed("'" + a.out + "' cannot be written");
     }
     const bool terminal = isatty(2) == 1;
+    for (const Point& p : e.points)
+        for (const Arm& arm : p.arms)
+            for (const fleet::Fault& f : arm.world.faults)
+                if (!is_on_model(f.kind))
+                    throw Malformed(a.file + ": fault " + word(f.kind) +
+                                    ": expected one that the model has; `crowd` plays it");
     Playing how;
     how.on = on;
     how.threads = a.threads;
@@ -106,6 +113,8 @@
               << e.seeds.size() << (e.seeds.size() == 1 ? " seed" : " seeds")
               << (stop ? ", stopped: partial" : "") << "\n"
               << table_of(e, all);
+    const fleet::World& first = e.points[0].arms[0].world;
+    if (first.tells_size || first.messages || !first.faults.empty()) std::cout << "\n" << crowd_table(all);
     bool broken = false, unjudged = false;
     for (const fleet::Outcome& o : all) {
         broken = broken || (o.rules_broken() > 0 && o.not_judged.empty());
@@ -118,6 +127,47 @@
     return stop ? stopped : unjudged ? not_judged : broken ? rules_broken : 0;
 }
 
+// One arm after the other, each with the one program and the other, seed by seed: they share the cores.
+int play_crowd(const Asked& a) {
+    Experiment e = read_experiment(file_text(a.file), a.file);
+    if (a.seeds > 0)
+        for (e.seeds.resize(1); static_cast<int>(e.seeds.size()) < a.seeds;)
+            e.seeds.push_back(e.seeds.back() + 1);
+    std::ofstream out;
+    if (!a.out.empty()) {
+        out.open(a.out, std::ios::app);
+        if (!out) throw Malformed("'" + a.out + "' cannot be written");
+    }
+    std::vector<fleet::Outcome> all;
+    for (const Point& p : e.points)
+        for (const uint64_t seed : e.seeds)
+            for (const Arm& arm : p.arms)
+                for (const std::string& program : {a.program, a.other}) {
+                    if (program.empty() || stop) continue;
+                    CrowdPlay play;
+                    play.program = program;
+                    play.clock = a.clock;
+                    play.log_folder = a.logs;
+                    play.stop = &stop;
+                    const std::string name = arm.placing.name + (program == a.other ? " (other)" : "");
+                    all.push_back(run_crowd(arm.world, name, seed, play));
+                    all.back().experiment = e.name;
+                    all.back().swept = p.value;
+                    if (!a.out.empty()) out << to_json(all.back()) << std::endl;
+                }
+    std::cout << e.name << ", processes on loopback, stand-in servers" << (stop ? ", stopped: partial" : "")
+              << "\n"
+              << crowd_table(all);
+    if (!all.empty() && !all.front().strikes.empty())
+        std::cout << "faults, seed " << all.front().seed << ":\n" << timeline_of(all.front().strikes);
+    bool broken = false, unjudged = false;
+    for (const fleet::Outcome& o : all) {
+        unjudged = unjudged || !o.not_judged.empty();
+        broken = broken || (o.not_judged.empty() && o.rules_broken() > 0);
+    }
+    return stop ? stopped : unjudged ? not_judged : broken ? rules_broken : 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -128,7 +178,8 @@
         "stand-in servers. docs/lab.md tells how to write one."};
     app.require_subcommand(1);
     Asked a;
-    a.program = beside(argv[0]);
+    a.program = beside(argv[0], "headrouter");
+    a.clock = beside(argv[0], "libheadrouter_clock.so");
     const auto common = [&](CLI::App* sub) {
         sub->add_option("file", a.file, "the experiment, in TOML")->required();
         sub->add_option("--on", a.on, "model or sockets")
@@ -151,6 +202,14 @@
         else
             sub->add_option("--seeds", a.seeds, "in place of the file's number")->check(CLI::Range(1, 1000));
     }
+    auto* crowd = app.add_subcommand(
+        "crowd", "plays all arms with hundreds of processes of the program and faults between them");
+    crowd->add_option("file", a.file, "the experiment, in TOML")->required();
+    crowd->add_option("--program", a.other, "another build of the balancer, played beside the present one");
+    crowd->add_option("--balancer", a.program, "in place of the present one");
+    crowd->add_option("--out", a.out, "add the results to this file, a JSON line a run");
+    crowd->add_option("--logs", a.logs, "keep logs, configurations and the timeline in this folder");
+    crowd->add_option("--seeds", a.seeds, "in place of the file's number")->check(CLI::Range(1, 1000));
     auto* report = app.add_subcommand("report", "makes a page of HTML from results");
     std::string page = "report.html";
     report->add_option("results", a.file, "a file of JSON lines")->required();
@@ -162,6 +221,7 @@
     measured->add_flag("--quick", a.quick, "smaller, within 50 s");
     measured->add_option("--threads", a.threads, "runs of the model side by side")->check(CLI::Range(1, 256));
     measured->add_option("--balancer", a.program, "the balancer's program");
+    measured->add_option("--program", a.other, "another build, measured beside it where the measure can");
     auto* shown =
         app.add_subcommand("demo", "starts balancers with a stand-in fleet and shows clients being served");
     double seconds_long = 20;
@@ -173,9 +233,11 @@
     try {
         if (run->parsed()) return play_file(a, What::run);
         if (compare->parsed()) return play_file(a, What::compare);
+        if (crowd->parsed()) return play_crowd(a);
         if (sweep->parsed()) return play_file(a, What::sweep);
         if (shown->parsed()) return demo(a.program, seconds_long, &stop);
-        if (measured->parsed()) return measure(name, {a.quick, a.threads, a.program, &stop});
+        if (measured->parsed())
+            return measure(name, {a.quick, a.threads, a.program, a.other, a.clock, &stop});
         const Results results = read_results(a.file);
         std::ofstream out(page);
         out << report_html(results.outcomes, results.cut_off);
--- a/src/lab/measure_ops.cpp
+++ b/src/lab/measure_ops.cpp
@@ -13,6 +13,7 @@
 
 #include "lab/child.h"
 #include "lab/statistics.h"
+#include "net/clock.h"
 #include "net/line_conn.h"
 #include "standin/block.h"
 
--- a/src/lab/measures.h
+++ b/src/lab/measures.h
@@ -10,6 +10,8 @@
     bool quick = false;
     int threads = 1;
     std::string program;  // the balancer
+    std::string other;    // another build of it, beside; empty: none
+    std::string clock;    // the library that sets wall clocks wrong
     const std::atomic<bool>* stop = nullptr;
 };
 
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -43,8 +43,9 @@
 
 class Plot {
    public:
-    Plot(double seconds, double most, std::string unit)
-        : seconds_(std::max(1.0, seconds)), most_(std::max(1e-9, most)) {
+    // `each`: seconds between two points of a line.
+    Plot(double seconds, double most, std::string unit, double each = 1)
+        : seconds_(std::max(1.0, seconds)), most_(std::max(1e-9, most)), each_(each) {
         o_ << "<svg viewBox='0 0 " << width << ' ' << height << "' role='img'>";
         for (int k = 0; k <= 4; ++k) {
             const double v = most_ * k / 4;
@@ -81,9 +82,9 @@
         return height - bottom - (height - top - bottom) * std::clamp(v / most_, 0.0, 1.0);
     }
     void point(size_t k, double v) {
-        o_ << fixed(x(static_cast<double>(k) + 0.5), 1) << ',' << fixed(y(v), 1) << ' ';
+        o_ << fixed(x((static_cast<double>(k) + 0.5) * each_), 1) << ',' << fixed(y(v), 1) << ' ';
     }
-    double seconds_, most_;
+    double seconds_, most_, each_;
     std::ostringstream o_;
 };
 
@@ -131,6 +132,14 @@
     }
 }
 
+void shade_strikes(Plot& plot, const Outcome& o) {
+    for (const Strike& s : o.strikes)
+        plot.mark(in_seconds(s.from - Instant{}),
+                  std::max(in_seconds(s.until - Instant{}), in_seconds(s.from - Instant{}) + 0.3),
+                  std::string(word(s.fault.kind)) + " " + fixed(s.fault.size, 2) + " at " +
+                      std::to_string(s.balancers.size()) + " balancers");
+}
+
 struct Group {
     std::vector<const Outcome*> runs;
 };
@@ -159,26 +168,29 @@
     return out + "</p>";
 }
 
-std::string use_plot(const Outcome& o) {
+// A line a server, of what is sampled at equal steps.
+std::string server_plot(const Outcome& o, const std::vector<std::vector<float>>& rows, double each) {
     double most = 1.2;
-    for (const auto& row : o.use_each)
-        for (const float v : row) most = std::max(most, std::min(4.0, static_cast<double>(v)));
-    Plot plot(static_cast<double>(o.use_each.size()), most, "");
+    for (const auto& row : rows)
+        for (const float v : row)
+            most = std::max(most, std::min(each < 1 ? 1e9 : 4.0, static_cast<double>(v)));
+    Plot plot(static_cast<double>(rows.size()) * each, most, "", each);
     shade(plot, o);
-    const size_t servers = o.use_each.empty() ? 0 : o.use_each.front().size();
+    shade_strikes(plot, o);
+    const size_t servers = rows.empty() ? 0 : rows.front().size();
     constexpr size_t drawn_each = 40;  // beyond, quantiles say more than lines on top of each other
     if (servers <= drawn_each) {
         for (size_t k = 0; k < servers; ++k) {
             Line l;
             l.name = server_name(static_cast<int>(k));
-            for (const auto& row : o.use_each) l.y.push_back(k < row.size() ? std::max(0.f, row[k]) : 0);
+            for (const auto& row : rows) l.y.push_back(k < row.size() ? std::max(0.f, row[k]) : 0);
             plot.line(l, colours[k % colours.size()]);
         }
         return plot.done();
     }
     Line l;
     l.name = "median, least and most";
-    for (const auto& row : o.use_each) {
+    for (const auto& row : rows) {
         std::vector<double> all;
         for (const float v : row)
             if (v >= 0) all.push_back(static_cast<double>(v));
@@ -189,6 +201,31 @@
     return plot.done();
 }
 
+std::string spread_table(const std::map<std::string, Group>& arms) {
+    std::ostringstream o;
+    o << "<table><tr><th>run, stretch<th>service<th>cv<th>of dice<th>seeing all<th>over dice<th>busiest / "
+         "mean"
+         "<th>worst<th>emptiest / mean<th>idle<th>herd<th>of dice";
+    const auto row = [&](const std::string& name, const Spread& s, double service) {
+        o << "<tr><td>" << escaped(name);
+        for (const double v : {service, s.cv, s.dice, s.seeing, s.over_dice(), s.most, s.worst, s.least,
+                               s.idle, s.herd, s.herd_dice})
+            o << "<td>" << fixed(v, 3);
+    };
+    for (const auto& [arm, group] : arms)
+        for (const Outcome* r : group.runs) {
+            row(arm + ", seed " + std::to_string(r->seed), r->spread, r->service());
+            for (const Outcome::Stretch& s : r->stretches)
+                row(s.name + ", " + fixed(in_seconds(s.from - Instant{}), 0) + " to " +
+                        fixed(in_seconds(s.until - Instant{}), 0) + " s",
+                    s.spread, s.service);
+            o << "<tr><td>messages " << fixed(r->datagrams, 2) << " datagrams, "
+              << fixed(r->datagram_bytes, 1) << " bytes; CPU " << fixed(r->cpu * 1000, 2)
+              << " ms a second and balancer; ended by themselves: " << r->ended_by_themselves;
+        }
+    return o.str() + "</table>";
+}
+
 }  // namespace
 
 std::string report_html(const std::vector<Outcome>& outcomes, int cut_off) {
@@ -255,12 +292,19 @@
              "wrong (hover).</p>"
           << legend(names);
         Plot plot(static_cast<double>(seconds), 1, "");
-        if (worst) shade(plot, *worst);
+        if (worst) shade(plot, *worst), shade_strikes(plot, *worst);
         for (size_t k = 0; k < lines.size(); ++k) plot.line(lines[k], colours[k % colours.size()]);
         o << plot.done();
         if (!worst) continue;
         o << "<h3>Work asked of each server over what it can do</h3><p>In the run with the least service: "
-          << escaped(worst->arm) << ", seed " << worst->seed << ".</p>" << use_plot(*worst);
+          << escaped(worst->arm) << ", seed " << worst->seed << ".</p>"
+          << server_plot(*worst, worst->use_each, 1);
+        if (!worst->load_each.empty()) {
+            o << "<h3>Load of each server for its weight</h3><p>In usual connections, twice a second, in the "
+                 "same "
+                 "run; faults shaded.</p>"
+              << server_plot(*worst, worst->load_each, in_seconds(spread_every)) << spread_table(arms);
+        }
         o << "<h3>Message delay, ms</h3><table><tr><th>arm, traffic type<th>median<th>95%<th>99%";
         for (const auto& [arm, group] : arms)
             for (size_t t = 0; t < group.runs.front()->delay_median.size(); ++t) {
--- a/src/lab/results.cpp
+++ b/src/lab/results.cpp
@@ -42,6 +42,62 @@
     {"delay_95_ms", &Outcome::delay_95},
     {"delay_99_ms", &Outcome::delay_99}};
 
+constexpr std::pair<const char*, double Spread::*> spread_figures[] = {{"cv", &Spread::cv},
+                                                                       {"dice", &Spread::dice},
+                                                                       {"seeing", &Spread::seeing},
+                                                                       {"most", &Spread::most},
+                                                                       {"least", &Spread::least},
+                                                                       {"worst", &Spread::worst},
+                                                                       {"idle", &Spread::idle},
+                                                                       {"herd", &Spread::herd},
+                                                                       {"herd_dice", &Spread::herd_dice},
+                                                                       {"standing", &Spread::standing}};
+constexpr std::pair<const char*, double Outcome::*> fleet_figures[] = {
+    {"datagrams", &Outcome::datagrams}, {"datagram_bytes", &Outcome::datagram_bytes}, {"cpu", &Outcome::cpu}};
+
+Spread spread_from(const json::Json& o) {
+    Spread s;
+    for (const auto& [name, field] : spread_figures) s.*field = json::real(o, name);
+    return s;
+}
+
+std::vector<std::vector<float>> rows_from(const json::Json& o, const char* name) {
+    std::vector<std::vector<float>> rows;
+    for (const json::Json& row : json::array(o, name).GetArray()) {
+        rows.emplace_back();
+        if (!row.IsArray()) continue;
+        for (const json::Json& v : row.GetArray())
+            rows.back().push_back(v.IsNumber() ? static_cast<float>(v.GetDouble()) : -1.f);
+    }
+    return rows;
+}
+
+// What earlier builds did not write is left as it is.
+void read_fleet_of_balancers(const json::Json& doc, Outcome& o) {
+    if (!json::find(doc, "spread")) return;
+    o.spread = spread_from(json::object(doc, "spread"));
+    o.load_each = rows_from(doc, "load_each");
+    for (const json::Json& s : json::array(doc, "stretches").GetArray())
+        o.stretches.push_back({json::text(s, "name"), Instant{} + seconds(json::real(s, "from")),
+                               Instant{} + seconds(json::real(s, "until")),
+                               spread_from(json::object(s, "spread")), json::real(s, "service")});
+    for (const json::Json& s : json::array(doc, "strikes").GetArray()) {
+        if (!s.IsArray() || s.Size() != 5 || !s[0].IsNumber() || !s[1].IsNumber() || !s[2].IsString() ||
+            !s[3].IsUint() || !s[4].IsNumber())
+            throw Malformed("field 'strikes' holds what is no strike");
+        Strike strike;
+        strike.from = Instant{} + seconds(s[0].GetDouble()),
+        strike.until = Instant{} + seconds(s[1].GetDouble());
+        for (const auto& [name, kind] : fault_words())
+            if (name == s[2].GetString()) strike.fault.kind = kind;
+        strike.balancers.resize(std::min(s[3].GetUint(), 100000u));
+        strike.fault.size = s[4].GetDouble();
+        o.strikes.push_back(std::move(strike));
+    }
+    for (const auto& [name, field] : fleet_figures) o.*field = json::real(doc, name);
+    o.ended_by_themselves = static_cast<int>(json::natural(doc, "ended_by_themselves"));
+}
+
 }  // namespace
 
 std::string to_json(const Outcome& o) {
@@ -85,6 +141,32 @@
             w.Double(d.size);
         w.EndArray();
     });
+    const auto spread = [&](const Spread& s) {
+        w.StartObject();
+        for (const auto& [name, field] : spread_figures) number(name, s.*field);
+        w.EndObject();
+    };
+    w.Key("spread"), spread(o.spread);
+    list(w, "stretches", o.stretches, [&](const Outcome::Stretch& s) {
+        w.StartObject();
+        text("name", s.name), number("from", in_seconds(s.from - Instant{})),
+            number("until", in_seconds(s.until - Instant{})), number("service", s.service);
+        w.Key("spread"), spread(s.spread);
+        w.EndObject();
+    });
+    list(w, "load_each", o.load_each, [&](const std::vector<float>& row) {
+        w.StartArray();
+        for (const float v : row) w.Double(static_cast<double>(v));
+        w.EndArray();
+    });
+    list(w, "strikes", o.strikes, [&](const Strike& s) {
+        w.StartArray();
+        w.Double(in_seconds(s.from - Instant{})), w.Double(in_seconds(s.until - Instant{}));
+        w.String(word(s.fault.kind)), w.Uint64(s.balancers.size()), w.Double(s.fault.size);
+        w.EndArray();
+    });
+    for (const auto& [name, field] : fleet_figures) number(name, o.*field);
+    w.Key("ended_by_themselves"), w.Int(o.ended_by_themselves);
     number("wall_seconds", o.wall_seconds);
     w.EndObject();
     return {buffer.GetString(), buffer.GetSize()};
@@ -122,6 +204,7 @@
         o.deeds.push_back({Instant{} + seconds(d[0].GetDouble()), static_cast<Deed::What>(d[1].GetInt()),
                            d[2].GetInt(), d[3].GetDouble()});
     }
+    read_fleet_of_balancers(doc, o);
     o.wall_seconds = real(doc, "wall_seconds");
     return o;
 }
--- a/src/lab/sockets_run.cpp
+++ b/src/lab/sockets_run.cpp
@@ -1,20 +1,14 @@
 #include "lab/sockets_run.h"
 
-#include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/resource.h>
-#include <sys/time.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <chrono>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <stdexcept>
 #include <thread>
 
 #include "lab/child.h"
+#include "lab/run_folder.h"
 #include "net/clock.h"
 #include "standin/rig.h"
 
@@ -25,31 +19,6 @@
 
 constexpr Span start_patience = seconds(10), end_patience = seconds(4), settling = millis(300);
 
-struct Folder {
-    std::string path;
-    bool own;
-    explicit Folder(const std::string& wanted) : path(wanted), own(wanted.empty()) {
-        if (own) {
-            std::string form = (std::filesystem::temp_directory_path() / "headrouter-lab-XXXXXX").string();
-            if (!mkdtemp(form.data())) throw std::runtime_error("cannot make a folder for the run");
-            path = form;
-        } else {
-            std::filesystem::create_directories(path);
-        }
-    }
-    ~Folder() {
-        std::error_code ignored;
-        if (own) std::filesystem::remove_all(path, ignored);
-    }
-};
-
-std::string last_line(const std::string& path) {
-    std::ifstream in(path);
-    std::string line, last;
-    while (std::getline(in, line)) last = line;
-    return last;
-}
-
 }  // namespace
 
 int descriptors_needed(const World& w) {
@@ -82,9 +51,11 @@
                          std::to_string(has);
         return ended();
     }
+    if (!w.faults.empty() || w.messages)
+        throw std::runtime_error("faults of processes and messages are played by `crowd`");
     std::signal(SIGPIPE, SIG_IGN);
     if (access(program.c_str(), X_OK) != 0) throw std::runtime_error("'" + program + "' cannot be run");
-    const Folder folder(extras.log_folder);
+    const RunFolder folder(extras.log_folder);
     struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
     {
         standin::Rig rig(loop, w, seed, out);
@@ -105,7 +76,7 @@
             while (!rig.ready(b) && !stopped()) {
                 turn();
                 if (children[b]->crashed())
-                    throw std::runtime_error("a balancer ended: " + last_line(children[b]->log()));
+                    throw std::runtime_error("a balancer ended: " + last_lines(children[b]->log(), 1));
                 if (Clock::now() > give_up) throw std::runtime_error("a balancer is not ready after 10 s");
             }
         rig.begin(
@@ -117,7 +88,7 @@
             for (; extras.each && told + 1 < out.asked_each.size(); ++told)
                 extras.each(told, out, rig.crowd().up());
             for (auto& child : children)
-                if (child->crashed()) crash = "a balancer ended by itself: " + last_line(child->log());
+                if (child->crashed()) crash = "a balancer ended by itself: " + last_lines(child->log(), 1);
         }
         out.partial = stopped() && !rig.finished();
         rig.crowd().stop();
--- a/src/model/baseline.h
+++ b/src/model/baseline.h
@@ -22,6 +22,7 @@
     void load_told(Instant, CallId, double) override {}
     void delay_told(Instant, const ServerId&, double) override {}
     void list_told(Instant, ListKind, const std::vector<Listed>&) override;
+    void peer_told(Instant, int, const std::string&) override {}
     void timer_rang(Instant, uint64_t) override {}
 
    private:
--- a/src/model/host.cpp
+++ b/src/model/host.cpp
@@ -46,12 +46,13 @@
     Instant at = never;
     if (!inbox_.empty()) at = inbox_.top().news.at;
     if (!timers_.empty()) at = std::min(at, timers_.top().at);
-    return at;
+    return at == never ? never : std::max(at, still_until_);
 }
 
 void Host::run(Instant until) {
     while (next() < until) {
         ++events_;
+        now_ = std::max(now_, still_until_);
         if (!inbox_.empty() && (timers_.empty() || inbox_.top().news.at <= timers_.top().at)) {
             const News news = inbox_.top().news;
             inbox_.pop();
@@ -86,6 +87,7 @@
         return;
     }
     if (n.what == What::starts) return start(now_);
+    if (n.what == What::stands_still) return void(still_until_ = n.until);
     if (n.what == What::list) {
         if (n.kind != ListKind::partial) std::fill(listed_.begin(), listed_.end(), 0);
         for (const Listed& l : *n.list) {
@@ -100,6 +102,7 @@
         return;
     }
     if (!policy_) return;
+    if (n.what == What::peer) return policy_->peer_told(now_, n.from, n.bytes);
     if (n.what == What::delay) return policy_->delay_told(now_, fleet::server_name(n.server), n.figure);
     if (n.what == What::call) return open_call(n);
     if (n.what == What::silent && n.call == 0) {
--- a/src/model/host.h
+++ b/src/model/host.h
@@ -16,7 +16,21 @@
 namespace headrouter::model {
 
 struct News {  // from the world to a balancer, at the time when it arrives there
-    enum class What { call, call_gone, accepted, up, over, load, delay, list, silent, dies, starts } what;
+    enum class What {
+        call,
+        call_gone,
+        accepted,
+        up,
+        over,
+        load,
+        delay,
+        list,
+        silent,
+        dies,
+        starts,
+        peer,
+        stands_still
+    } what;
     Instant at;
     uint64_t call = 0;
     int leg = -1, server = -1;
@@ -26,6 +40,15 @@
     bool again = false;
     std::shared_ptr<const std::vector<Listed>> list{};
     ListKind kind = ListKind::partial;
+    int from = -1;    // a peer's message
+    Instant until{};  // its process stands still: what comes meanwhile waits, and so do its timers
+    std::string bytes{};
+};
+
+struct Said {  // to another balancer, or to all others
+    Instant at;
+    int to;
+    std::string bytes;
 };
 
 struct Order {  // from a balancer to the world, at the time when it leaves
@@ -44,6 +67,7 @@
     Instant next() const;
     void run(Instant until);  // all that is due before
     std::vector<Order>& orders() { return orders_; }
+    std::vector<Said>& said() { return said_; }
     uint64_t digest() const { return digest_; }
     uint64_t events() const { return events_; }
     size_t held() const { return flows_.size(); }
@@ -75,7 +99,7 @@
     void move(CallId) override;
     void set_timer(Instant, uint64_t token) override;
     void watch_list() override {}
-    void tell_peer(int, const std::string&) override {}  // the model has no messages
+    void tell_peer(int to, const std::string& bytes) override { said_.push_back({now_, to, bytes}); }
 
     void hear(const News&);
     void start(Instant);
@@ -109,6 +133,8 @@
     std::priority_queue<Queued, std::vector<Queued>, std::greater<>> inbox_;
     std::deque<Due> due_;
     std::vector<Order> orders_;
+    std::vector<Said> said_;
+    Instant still_until_;
 };
 
 // The place of "s-0007" among the servers.
--- a/src/model/policy.cpp
+++ b/src/model/policy.cpp
@@ -37,6 +37,9 @@
         brain_.list_told(now, kind, list);
     }
     void timer_rang(Instant now, uint64_t token) override { brain_.timer_rang(now, token); }
+    void peer_told(Instant now, int slot, const std::string& bytes) override {
+        brain_.peer_told(now, slot, bytes);
+    }
 
    private:
     std::unique_ptr<capture::Recorder> recorder_;
--- a/src/model/policy.h
+++ b/src/model/policy.h
@@ -19,6 +19,7 @@
     virtual void delay_told(Instant, const ServerId&, double millis) = 0;
     virtual void list_told(Instant, ListKind, const std::vector<Listed>&) = 0;
     virtual void timer_rang(Instant, uint64_t token) = 0;
+    virtual void peer_told(Instant, int slot, const std::string& bytes) = 0;
 };
 
 enum class PolicyKind { brain, random, least_connections, two_choices, rendezvous };
--- a/src/model/run.cpp
+++ b/src/model/run.cpp
@@ -5,6 +5,7 @@
 #include <queue>
 #include <utility>
 
+#include "fleet/links.h"
 #include "fleet/machine.h"
 #include "model/crew.h"
 #include "model/host.h"
@@ -36,7 +37,9 @@
         deemed,
         sample,
         silence,
-        front_learns
+        front_learns,
+        strikes,
+        strike_over
     } what;
     Instant at;
     uint64_t order = 0;
@@ -61,6 +64,10 @@
           alive_(w.balancers, 1),
           stamps_(w.balancers),
           silent_stamp_(w.servers),
+          strikes_(strikes_of(w, seed)),
+          links_(strikes_, w.balancers, seed),
+          shares_(traffic_shares(w)),
+          still_until_(w.balancers),
           standing_(w.servers),
           asked_(w.traffic.types.size()) {
         const std::vector<int> kinds = kinds_of(w);
@@ -87,6 +94,15 @@
             if (s.until < Instant{} + w.length) add({Event::What::session_ends, s.until, 0, s.number});
         }
         for (size_t k = 0; k < out_.deeds.size(); ++k) add({Event::What::deed, out_.deeds[k].at, 0, k});
+        for (size_t k = 0; k < strikes_.size(); ++k) {
+            if (strikes_[k].fault.kind != FaultKind::stall && strikes_[k].fault.kind != FaultKind::kill)
+                continue;
+            add({Event::What::strikes, strikes_[k].from, 0, k});
+            add({Event::What::strike_over, strikes_[k].until, 0, k});
+        }
+        double share = 0;
+        for (const TypeRow& t : w.traffic.types) share += t.share, usual_ += t.share * t.load * 1000;
+        usual_ /= share;
         add({Event::What::sample, Instant{} + sample_every});
     }
 
@@ -95,6 +111,7 @@
     Instant next() const { return events_.empty() ? never : events_.top().at; }
 
     void run(Instant until) {
+        reached_ = until;
         while (next() < until) {
             const Event e = events_.top();
             events_.pop();
@@ -113,6 +130,9 @@
                 obey(b, o);
             }
             hosts_[b].orders().clear();
+            for (const Said& s : hosts_[b].said())
+                if (alive_[b] && s.at >= born_after_[static_cast<size_t>(b)]) pass_on(b, s);
+            hosts_[b].said().clear();
         }
     }
     void hand_out() {
@@ -124,9 +144,14 @@
         for (Machine& m : machines_) m.work_left(end);
         judge_falls(end);
         ledger_.finish(end);
+        out_.strikes = strikes_;
         out_.judge(w_, ledger_);
+        out_.judge_spread(w_, log_);
         out_.calls = ledger_.calls();
         out_.events = handled_;
+        const double of = in_seconds(w_.length) * w_.balancers;
+        out_.datagrams = static_cast<double>(datagrams_) / of;
+        out_.datagram_bytes = static_cast<double>(datagram_bytes_) / of;
         for (const Host& h : hosts_) {
             out_.events += h.events();
             const uint64_t d = h.digest();
@@ -203,7 +228,11 @@
             case What::deemed: return ledger_.told_unwanted(now_, e.balancer, e.server);
             case What::sample: return sample();
             case What::silence: return silence(e);
-            case What::front_learns: front_up_[e.balancer] = alive_[e.balancer]; return;
+            case What::front_learns:
+                front_up_[e.balancer] = alive_[e.balancer] && now_ >= still_until_[e.balancer];
+                return;
+            case What::strikes: return strike(strikes_[e.id]);
+            case What::strike_over: return strike_over(strikes_[e.id]);
         }
     }
 
@@ -227,12 +256,15 @@
     }
 
     int front(int zone) {
-        std::vector<int> near, all;
+        double near = 0, all = 0;
+        for (int b = 0; b < w_.balancers; ++b)
+            if (front_up_[b]) all += shares_[b], near += b % w_.zones == zone ? shares_[b] : 0;
+        double pick = chance_.uniform() * (near > 0 ? near : all);
         for (int b = 0; b < w_.balancers; ++b)
-            if (front_up_[b]) all.push_back(b), b % w_.zones == zone ? near.push_back(b) : void();
-        const std::vector<int>& from = near.empty() ? all : near;
-        return from.empty() ? -1
-                            : from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
+            if (front_up_[b] && (near <= 0 || b % w_.zones == zone) && shares_[b] > 0 &&
+                (pick -= shares_[b]) <= 0)
+                return b;
+        return -1;
     }
 
     void failed_try(size_t who, Instant at) {
@@ -312,6 +344,50 @@
         if (call && call->client_gone && call->legs.empty()) calls_.erase(id);
     }
 
+    // ---- what balancers tell one another ----
+
+    void pass_on(int from, const Said& s) {
+        for (int to = 0; to < w_.balancers; ++to) {
+            if (to == from || (s.to != everyone_else && s.to != to)) continue;
+            ++datagrams_, datagram_bytes_ += s.bytes.size();
+            for (Links::Passed& p : links_.carry(s.at, from, to, s.bytes)) {
+                News n{News::What::peer, std::max(s.at + w_.peer_latency, reached_) + p.later};
+                n.from = from;
+                n.bytes = std::move(p.bytes);
+                tell(to, std::move(n));
+            }
+        }
+    }
+
+    void strike(const Strike& s) {
+        for (const int b : s.balancers) {
+            if (s.fault.kind == FaultKind::kill) {
+                balancer_dies(b);
+                continue;
+            }
+            ledger_.excuse_held(b);
+            still_until_[b] = std::max(still_until_[b], s.until);
+            News n = news(News::What::stands_still, 0, -1, tick());
+            n.until = still_until_[b];
+            tell(b, std::move(n));
+            Event learns{Event::What::front_learns, now_ + front_notice};
+            learns.balancer = b;
+            add(learns);
+        }
+    }
+    void strike_over(const Strike& s) {
+        for (const int b : s.balancers) {
+            if (s.fault.kind == FaultKind::kill) {
+                balancer_starts(b);
+                continue;
+            }
+            ledger_.went_on(s.from, now_, b);
+            Event learns{Event::What::front_learns, now_ + tick() * 4};
+            learns.balancer = b;
+            add(learns);
+        }
+    }
+
     // ---- balancers' orders ----
 
     void obey(int b, const Order& o) {
@@ -353,6 +429,7 @@
         Leg* leg = call ? call->leg(e.leg) : nullptr;
         if (!leg) return;
         ++out_.legs;
+        log_.began(now_, e.id, e.server, sessions_[call->session].load / usual_);
         ledger_.leg_began(now_, e.id, e.server, e.balancer);
         ledger_.leg_ran(now_, e.id, e.server);
         leg->here = true;
@@ -379,6 +456,7 @@
             later.at = now_ + millis(20);
             return add(later);
         }
+        if (e.stamp > 0) log_.turned_away(e.id, e.server);
         if (e.stamp == 1) ledger_.leg_turned_away(e.id, e.server);
         if (e.stamp > 0) return leg_ends(e.id, e.leg, e.stamp == 1 ? Ending::full : Ending::error);
         leg->standing = true;
@@ -408,6 +486,7 @@
         std::erase_if(call->legs, [&](const Leg& l) { return l.number == number; });
         if (leg.here) {
             machines_[leg.server].close(now_, id);
+            log_.over(now_, id, leg.server);
             ledger_.leg_over(now_, id, leg.server);
         }
         if (leg.standing) std::erase(standing_[leg.server], id);
@@ -628,6 +707,12 @@
             m.work_left(now_);
             if (m.mode() != before) break_all(k);  // it fell
             const Span delay = m.answers() ? m.delay(now_) : seconds(100);
+            if (now_.ns % spread_every.ns == 0)
+                log_.sample(static_cast<size_t>(now_.ns / spread_every.ns), k,
+                            m.mode() == Mode::running
+                                ? m.asked() / usual_ / std::max(w_.kinds[kinds_[k]].weight, 1e-3)
+                                : -1,
+                            static_cast<int>(m.connections()));
             if (second) use.push_back(m.answers() ? static_cast<float>(m.asked() / m.capacity(now_)) : -1.f);
             if (m.connections() == 0) continue;
             for (size_t t = 0; t < types.size(); ++t) {
@@ -682,6 +767,15 @@
     bool list_down_ = false;
     std::vector<char> front_up_, alive_;
     std::vector<uint64_t> stamps_, silent_stamp_;
+    std::vector<Strike> strikes_;
+    Links links_;
+    std::vector<double> shares_;
+    std::vector<Instant> still_until_;
+    std::vector<int> kinds_ = kinds_of(w_);
+    SpreadLog log_;
+    double usual_ = 0;  // load of a connection
+    uint64_t datagrams_ = 0, datagram_bytes_ = 0;
+    Instant reached_;  // the end of the window played last
     std::vector<Instant> born_after_ = std::vector<Instant>(static_cast<size_t>(w_.balancers));
     std::vector<std::vector<uint64_t>> standing_;  // calls on each server
     std::vector<double> asked_;                    // sessions that want service, by type
--- a/src/standin/agenda.cpp
+++ b/src/standin/agenda.cpp
@@ -14,7 +14,11 @@
 
 Agenda::~Agenda() { ev_timer_stop(loop_, &timer_); }
 
-void Agenda::begin() { start_ = Clock::now(); }
+void Agenda::begin() { begin(Clock::now()); }
+void Agenda::begin(Instant start) {
+    start_ = start;
+    arm();
+}
 Instant Agenda::now() const { return Instant{} + (Clock::now() - start_); }
 
 Agenda::Ticket Agenda::at(Instant when, std::function<void()> what) {
--- a/src/standin/agenda.h
+++ b/src/standin/agenda.h
@@ -21,6 +21,7 @@
         return loop_;
     }
     void begin();         // the rig's time starts now
+    void begin(Instant);  // or started then, by the steady clock, for rigs on several threads
     Instant now() const;  // since then
     using Ticket = std::pair<Instant, uint64_t>;
     Ticket at(Instant, std::function<void()>);
--- a/src/standin/crowd.cpp
+++ b/src/standin/crowd.cpp
@@ -28,8 +28,12 @@
 Crowd::~Crowd() { *alive_ = false; }
 
 void Crowd::add_balancer(std::string at) {
-    const auto address = Address::from(at);
-    balancers_.push_back({std::move(at), *address, true});
+    balancers_.emplace_back(std::move(at));
+    balancers_.back().share = traffic_shares(world_)[balancers_.size() - 1];
+}
+
+void Crowd::reach_by(int balancer, const std::string& at) {
+    balancers_[balancer].address = *Address::from(at);
 }
 
 void Crowd::start() {
@@ -45,12 +49,16 @@
 }
 
 int Crowd::choose(int zone) {
-    std::vector<int> near, all;
-    for (int b = 0; b < static_cast<int>(balancers_.size()); ++b)
-        if (balancers_[b].sends) all.push_back(b), b % world_.zones == zone ? near.push_back(b) : void();
-    const std::vector<int>& from = near.empty() ? all : near;
-    return from.empty() ? -1
-                        : from[static_cast<size_t>(chance_.uniform() * static_cast<double>(from.size()))];
+    double near = 0, all = 0;
+    const auto is_near = [&](size_t b) { return static_cast<int>(b) % world_.zones == zone; };
+    for (size_t b = 0; b < balancers_.size(); ++b)
+        if (balancers_[b].sends) all += balancers_[b].share, near += is_near(b) ? balancers_[b].share : 0;
+    double pick = chance_.uniform() * (near > 0 ? near : all);
+    for (size_t b = 0; b < balancers_.size(); ++b)
+        if (balancers_[b].sends && (near <= 0 || is_near(b)) && balancers_[b].share > 0 &&
+            (pick -= balancers_[b].share) <= 0)
+            return static_cast<int>(b);
+    return -1;
 }
 
 std::string Crowd::opening(const Client& c, const Session& s) const {
@@ -77,7 +85,7 @@
         if (errno == EADDRNOTAVAIL || errno == EAGAIN) short_of_ = "ports";
         return away(who, c.patience->after_failure(agenda_.now(), chance_));
     }
-    c.call = (static_cast<uint64_t>(who) + 1) << 20 | (++c.tries & 0xfffff);
+    c.call = (s.number + 1) << 20 | (++c.tries & 0xfffff);
     c.balancer = b;
     c.state = Client::State::connecting;
     c.spoken.clear();
@@ -98,10 +106,13 @@
     const Session& s = sessions_[who];
     c.state = Client::State::asking;
     const std::string text = opening(c, s);
-    sent_[c.call] = {who, c.balancer, text, false, -1};
-    line.send(text);
+    {
+        const std::lock_guard held(book_);
+        sent_[c.call] = {who, c.balancer, text, false, -1};
+    }
     c.opened = agenda_.now();
-    ledger_.opened(c.opened, c.call, s.type, c.balancer);
+    ledger_.opened(c.opened, c.call, s.type, c.balancer);  // before any server can tell of it
+    line.send(text);
     agenda_.in(world_.traffic.types[s.type].guard_time + millis(50),
                [this, who, call = c.call, alive = alive_] {
                    if (*alive) guard_over(who, call);
@@ -129,6 +140,7 @@
         c.spoken.pop_front();
         return ledger_.message(sessions_[who].type, c.last_delay);
     }
+    if (text.substr(0, 3) == "UP ") return ledger_.answered(agenda_.now(), c.call, Answer::up);  // once more
     if (text == "MOVE") return void(c.moved = true);
     if (text.substr(0, 5) != "LOAD " && text != "BYE") ++garbled_;
 }
@@ -176,9 +188,13 @@
     const Client::State was = c.state;
     if (was == Client::State::asking) ledger_.answered(now, c.call, Answer::ended);
     if (was == Client::State::up) {
-        const auto sent = sent_.find(c.call);
-        const bool by_server = sent != sent_.end() && sent->second.ended_by_server;
-        const int server = sent != sent_.end() ? sent->second.server : -1;
+        bool by_server = false;
+        int server = -1;
+        {
+            const std::lock_guard held(book_);
+            const auto sent = sent_.find(c.call);
+            if (sent != sent_.end()) by_server = sent->second.ended_by_server, server = sent->second.server;
+        }
         if (!c.moved && !by_server) ledger_.cut(now, c.call, server >= 0 && (!answers_ || answers_(server)));
         ledger_.answered(now, c.call, Answer::ended);
         ++(c.moved ? out_.moved : out_.broken);
@@ -206,6 +222,7 @@
     if (!c.line) return;
     c.line->finish();
     farewell_.take(std::move(c.line));
+    const std::lock_guard held(book_);
     old_.emplace_back(agenda_.now(), c.call);
     while (!old_.empty() && agenda_.now() - old_.front().first > remembered) {
         sent_.erase(old_.front().second);
@@ -224,6 +241,7 @@
 
 void Crowd::balancer_dies(int balancer) {
     ledger_.balancer_died(balancer);
+    const std::lock_guard held(book_);
     for (auto& [call, sent] : sent_)
         if (sent.balancer == balancer) sent.ended_by_server = true;  // nobody is to blame for the cut
 }
@@ -240,7 +258,7 @@
 }
 
 void Crowd::stop() {
-    stopped_ = true;
+    if (!std::exchange(stopped_, true)) out_.legs += legs_;
     for (size_t who = 0; who < clients_.size(); ++who) end_session(who);
 }
 
@@ -273,6 +291,7 @@
 
 // The line must be the client's own but for the wait, which the balancer may shorten.
 SeenByServers::Opened Crowd::first_line(uint64_t call, std::string_view line) {
+    const std::lock_guard held(book_);
     const auto it = sent_.find(call);
     if (it == sent_.end()) return {};
     const Session& s = sessions_[it->second.who];
@@ -287,15 +306,21 @@
 }
 
 void Crowd::leg_began(uint64_t call, int server, int balancer) {
-    ++out_.legs;
-    if (const auto it = sent_.find(call); it != sent_.end()) it->second.server = server;
+    ++legs_;
+    {
+        const std::lock_guard held(book_);
+        if (const auto it = sent_.find(call); it != sent_.end()) it->second.server = server;
+    }
     ledger_.leg_began(agenda_.now(), call, server, balancer);
 }
 void Crowd::leg_ran(uint64_t call, int server) { ledger_.leg_ran(agenda_.now(), call, server); }
 void Crowd::leg_turned_away(uint64_t call, int server) { ledger_.leg_turned_away(call, server); }
 void Crowd::leg_over(uint64_t call, int server, bool by_server) {
-    const auto it = sent_.find(call);
-    if (by_server && it != sent_.end()) it->second.ended_by_server = true;
+    {
+        const std::lock_guard held(book_);
+        const auto it = sent_.find(call);
+        if (by_server && it != sent_.end()) it->second.ended_by_server = true;
+    }
     ledger_.leg_over(agenda_.now(), call, server);
 }
 void Crowd::garbled(int, std::string_view) { ++garbled_; }
--- a/src/standin/crowd.h
+++ b/src/standin/crowd.h
@@ -1,8 +1,11 @@
 // The clients of a rig: each session comes at its own time whatever the balancers do, opens a connection,
-// says what it wants, speaks every so often, and comes again after what befell it as its Patience says.
+// says what it wants, speaks every so often, and comes again after what befell it as its Patience says. Lives
+// on one thread; servers on other threads may tell what they see, and the front and deaths may be told there.
 #pragma once
+#include <atomic>
 #include <deque>
 #include <memory>
+#include <mutex>
 #include <unordered_map>
 
 #include "fleet/ledger.h"
@@ -25,6 +28,8 @@
     // Whether a server could answer; who is cut off from one that cannot is owed no MOVE.
     void ask_servers(std::function<bool(int server)> answers) { answers_ = std::move(answers); }
     void front_sends(int balancer, bool on) { balancers_[balancer].sends = on; }
+    // Its connections come by way of another address from now on, a relay's; for those that come after.
+    void reach_by(int balancer, const std::string& at);
     void balancer_dies(int balancer);  // right before it does
     void start();                      // from the agenda's beginning on
     void sample();
@@ -73,9 +78,11 @@
     bool served(const Client&, const fleet::TypeRow&, Instant now) const;
 
     struct Place {
+        explicit Place(std::string listen) : at(std::move(listen)), address(*Address::from(at)) {}
         std::string at;
         Address address;
-        bool sends = true;
+        double share = 1;  // of the clients, beside the others
+        std::atomic<bool> sends{true};
     };
     Agenda& agenda_;
     const fleet::World& world_;
@@ -85,7 +92,7 @@
     fleet::Outcome& out_;
     Farewell farewell_;
     std::vector<Client> clients_;
-    std::vector<Place> balancers_;
+    std::deque<Place> balancers_;
     struct Sent {
         size_t who;
         int balancer;
@@ -93,11 +100,12 @@
         bool ended_by_server = false;
         int server = -1;  // of its latest leg
     };
+    std::mutex book_;                          // of what follows, which servers read as well
     std::unordered_map<uint64_t, Sent> sent_;  // by call, for the servers and for what comes late
     std::deque<std::pair<Instant, uint64_t>> old_;
     std::function<bool(int)> answers_;
     std::string short_of_;
-    uint64_t garbled_ = 0, legs_ = 0;
+    std::atomic<uint64_t> garbled_{0}, legs_{0};
     size_t over_ = 0;
     bool stopped_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/standin/crowd_rig.h
@@ -0,0 +1,95 @@
+// A stand-in deployment for hundreds of balancers on loopback, spread over threads: servers, clients, the
+// list of each balancer, the datagrams between them and the paths that go wrong by script. Whoever uses it
+// brings the balancers as processes, and tells what it does to them. Addresses are the rig's own
+// (standin/block.h), so that two rigs side by side never meet.
+#pragma once
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/fault.h"
+#include "fleet/outcome.h"
+#include "standin/block.h"
+#include "standin/crowd.h"
+#include "standin/datagrams.h"
+#include "standin/list_agent.h"
+#include "standin/relay.h"
+#include "standin/strand.h"
+
+namespace headrouter::standin {
+
+class CrowdRig {
+   public:
+    struct Seat {
+        std::string name, listen, discovery, own, relay;
+    };
+    CrowdRig(const fleet::World&, uint64_t seed);
+    ~CrowdRig();
+
+    const Seat& seat(int balancer) const { return seats_[static_cast<size_t>(balancer)]; }
+    std::string ops(int balancer, int life) const;  // each process of a balancer has its own
+    std::string config(int balancer, int life);
+    const std::vector<fleet::Strike>& strikes() const { return strikes_; }
+    const std::vector<fleet::Deed>& deeds() const { return deeds_; }
+    const std::string& place(int server) const { return places_[static_cast<size_t>(server)]; }
+    void watch_datagrams_by(std::function<void(Instant, int, int, std::string_view)>);  // before open()
+
+    void open();  // lists answer, servers listen, datagrams pass: balancers may start
+    // All balancers take clients: script and clients begin, at this instant of the steady clock.
+    void begin(Instant);
+    bool finished() const { return finished_; }  // the script's length is over
+    fleet::Outcome end();                        // all threads; what there was to be seen
+
+    // What is done to balancers, told right before it is done; from the thread that does it.
+    void dies(int balancer);
+    void front_sends(int balancer, bool on);
+    fleet::Ledger& ledger() { return *ledger_; }
+    Instant now() const;  // of the run
+
+   private:
+    struct ServerPart;
+    struct ClientPart;
+    struct PathPart;
+    void make_servers(uint64_t seed);
+    void make_clients(uint64_t seed);
+    void make_lists();
+    void make_paths();
+    void script_of_lists();
+    void script_of_paths();
+    void told(int balancer, const std::vector<Entry>&, bool whole);
+    Entry entry(int server) const;  // as the list has it now; on the lists' thread
+    void list_changes(const fleet::Deed&);
+    std::string place_for(int balancer, int server) const;
+    bool hidden_from(int balancer, int server, Instant) const;
+    std::string not_judged() const;
+
+    fleet::World world_;
+    uint64_t seed_;
+    std::vector<fleet::Strike> strikes_;
+    std::vector<fleet::Deed> deeds_;
+    Block block_;
+    Pcg32 chance_;
+    int descriptors_;
+    std::vector<int> kinds_;
+    std::vector<std::string> places_;
+    std::vector<Seat> seats_;
+    std::unique_ptr<fleet::Ledger> ledger_;
+    std::deque<std::atomic<bool>> answering_, fell_;
+    Instant began_;
+    std::atomic<bool> finished_{false};
+    std::vector<std::unique_ptr<ServerPart>> server_parts_;
+    std::vector<std::unique_ptr<ClientPart>> client_parts_;
+    std::unique_ptr<PathPart> paths_;
+    // The lists' thread.
+    Strand lists_;
+    std::vector<std::unique_ptr<ListAgent>> agents_;
+    std::vector<Condition> conditions_;
+    std::vector<int64_t> started_ms_;
+    // The datagrams' thread.
+    Strand datagram_strand_;
+    std::unique_ptr<Datagrams> datagrams_;
+};
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/datagrams.cpp
@@ -0,0 +1,92 @@
+#include "standin/datagrams.h"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+namespace headrouter::standin {
+
+namespace {
+
+constexpr size_t longest = 2048;
+constexpr int at_once = 64, roomy = 1 << 20;  // what a socket holds while the rig's thread is elsewhere
+
+uint64_t name_of(const sockaddr_storage& a) {
+    const auto& in = reinterpret_cast<const sockaddr_in&>(a);
+    return static_cast<uint64_t>(in.sin_addr.s_addr) << 16 | in.sin_port;
+}
+
+}  // namespace
+
+Datagrams::Datagrams(Agenda& agenda, const std::vector<Place>& places,
+                     const std::vector<fleet::Strike>& strikes, uint64_t seed)
+    : agenda_(agenda), links_(strikes, static_cast<int>(places.size()), seed) {
+    for (const Place& place : places) {
+        auto relay = std::make_unique<Relay>();
+        relay->all = this;
+        relay->number = static_cast<int>(relays_.size());
+        relay->own = *Address::from(place.own);
+        const Address at = *Address::from(place.relay);
+        relay->fd = Fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+        if (!relay->fd || bind(relay->fd.get(), reinterpret_cast<const sockaddr*>(&at.bytes), at.size) != 0)
+            throw std::runtime_error("no datagrams at " + place.relay + ": " + std::strerror(errno));
+        setsockopt(relay->fd.get(), SOL_SOCKET, SO_RCVBUF, &roomy, sizeof roomy);
+        senders_[name_of(relay->own.bytes)] = relay->number;
+        ev_io_init(
+            &relay->io,
+            [](struct ev_loop*, ev_io* w, int) {
+                const auto* r = static_cast<Relay*>(w->data);
+                r->all->readable(r->number);
+            },
+            relay->fd.get(), EV_READ);
+        relay->io.data = relay.get();
+        ev_io_start(agenda_.loop(), &relay->io);
+        relays_.push_back(std::move(relay));
+    }
+}
+
+Datagrams::~Datagrams() {
+    *alive_ = false;
+    for (auto& relay : relays_) ev_io_stop(agenda_.loop(), &relay->io);
+}
+
+void Datagrams::readable(int to) {
+    std::array<char, longest> bytes{};
+    for (int k = 0; k < at_once; ++k) {
+        sockaddr_storage from{};
+        socklen_t size = sizeof from;
+        const ssize_t n = recvfrom(relays_[static_cast<size_t>(to)]->fd.get(), bytes.data(), bytes.size(), 0,
+                                   reinterpret_cast<sockaddr*>(&from), &size);
+        if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) continue;  // of one sent to nobody
+        if (n < 0) return;
+        const auto sender = senders_.find(name_of(from));
+        if (sender == senders_.end()) {
+            ++counts_.foreign;
+            continue;
+        }
+        const std::string_view text(bytes.data(), static_cast<size_t>(n));
+        const Instant now = agenda_.now();
+        ++counts_.sent;
+        counts_.bytes += text.size();
+        if (seen_) seen_(now, sender->second, to, text);
+        for (fleet::Links::Passed& p : links_.carry(now, sender->second, to, text)) {
+            if (p.later.ns <= 0) {
+                pass(sender->second, to, p.bytes);
+                continue;
+            }
+            agenda_.in(p.later, [this, alive = alive_, f = sender->second, to, b = std::move(p.bytes)] {
+                if (*alive) pass(f, to, b);
+            });
+        }
+    }
+}
+
+void Datagrams::pass(int from, int to, const std::string& bytes) {
+    const Address& own = relays_[static_cast<size_t>(to)]->own;
+    const ssize_t n = sendto(relays_[static_cast<size_t>(from)]->fd.get(), bytes.data(), bytes.size(),
+                             MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&own.bytes), own.size);
+    counts_.arrived += n >= 0;
+}
+
+}  // namespace headrouter::standin
--- a/src/standin/rig.cpp
+++ b/src/standin/rig.cpp
@@ -1,7 +1,5 @@
 #include "standin/rig.h"
 
-#include <sys/socket.h>
-
 #include <chrono>
 #include <sstream>
 
@@ -78,24 +76,11 @@
     return o.str();
 }
 
-bool Rig::ready(int b) {
-    auto& [fd, got] = pings_[b];
-    if (!fd) {
-        got.clear();
-        if (fd = connect_to(*Address::from(seats_[b].listen)); !fd) return false;
-    }
-    if (pending_error(fd.get()) != 0) return fd.close(), false;
-    if (got.empty() && ::send(fd.get(), "PING\r\n", 6, MSG_NOSIGNAL) == 6) got = " ";
-    char bytes[64];
-    const ssize_t n = recv(fd.get(), bytes, sizeof bytes, MSG_DONTWAIT);
-    if (n > 0) got.append(bytes, static_cast<size_t>(n));
-    if (n == 0) fd.close();
-    return got.find("PONG") != std::string::npos;
-}
+bool Rig::ready(int b) { return pings_[b].heard(seats_[b].listen, "PING\r\n", "PONG"); }
 
 void Rig::begin(Balancers balancers) {
     balancers_ = std::move(balancers);
-    for (auto& ping : pings_) ping.first.close();
+    for (Asker& ping : pings_) ping.close();
     agenda_.begin();
     for (const Deed& d : out_.deeds)
         agenda_.at(d.at, [this, d, alive = alive_] {
--- a/src/standin/rig.h
+++ b/src/standin/rig.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "fleet/machine.h"
+#include "standin/asker.h"
 #include "standin/block.h"
 #include "standin/crowd.h"
 #include "standin/list_agent.h"
@@ -65,7 +66,7 @@
     std::vector<std::unique_ptr<ListAgent>> agents_;
     std::vector<Seat> seats_;
     Balancers balancers_;
-    std::vector<std::pair<Fd, std::string>> pings_;
+    std::vector<Asker> pings_;
     int looks_ = 0;
     bool finished_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/standin/strand.cpp
@@ -0,0 +1,57 @@
+#include "standin/strand.h"
+
+#include <sys/resource.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+namespace headrouter::standin {
+
+namespace {
+// Where it may: the rig shares the cores with what it judges, and late it could judge nothing.
+constexpr int ahead_of_balancers = -5;
+}  // namespace
+
+Strand::Strand() : agenda_(loop_.loop) {
+    ev_async_init(&woken_, [](struct ev_loop* loop, ev_async* w, int) {
+        Strand& s = *static_cast<Strand*>(w->data);
+        std::vector<std::function<void()>> now;
+        {
+            const std::lock_guard held(s.posts_);
+            now.swap(s.posted_);
+            if (s.over_) ev_break(loop, EVBREAK_ALL);
+        }
+        for (const auto& what : now) what();
+    });
+    woken_.data = this;
+    ev_async_start(loop_.loop, &woken_);
+}
+
+Strand::~Strand() {
+    end();
+    ev_async_stop(loop_.loop, &woken_);
+}
+
+void Strand::run() {
+    thread_ = std::thread([this] {
+        setpriority(PRIO_PROCESS, static_cast<id_t>(syscall(SYS_gettid)), ahead_of_balancers);
+        ev_run(loop_.loop, 0);
+    });
+}
+
+void Strand::post(std::function<void()> what) {
+    const std::lock_guard held(posts_);
+    posted_.push_back(std::move(what));
+    ev_async_send(loop_.loop, &woken_);
+}
+
+void Strand::end() {
+    if (!thread_.joinable()) return;
+    {
+        const std::lock_guard held(posts_);
+        over_ = true;
+        ev_async_send(loop_.loop, &woken_);
+    }
+    thread_.join();
+}
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/src/standin/strand.h
@@ -0,0 +1,38 @@
+// A thread with a loop and an agenda of its own, for one part of a rig. What lives on it is made before it
+// runs and destroyed after it has ended; in between only what says so may be called from elsewhere.
+#pragma once
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "standin/agenda.h"
+
+namespace headrouter::standin {
+
+class Strand {
+   public:
+    Strand();
+    ~Strand();
+    Strand(const Strand&) = delete;
+    Strand& operator=(const Strand&) = delete;
+
+    Agenda& agenda() { return agenda_; }
+    void run();                             // the thread begins
+    void post(std::function<void()> what);  // done there soon
+    void end();                             // and waits for it; twice does nothing
+
+   private:
+    struct Loop {
+        struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
+        ~Loop() { ev_loop_destroy(loop); }
+    } loop_;
+    Agenda agenda_;
+    ev_async woken_{};
+    std::mutex posts_;
+    std::vector<std::function<void()>> posted_;
+    bool over_ = false;
+    std::thread thread_;
+};
+
+}  // namespace headrouter::standin
--- /dev/null
+++ b/tests/fleet/test_links.cpp
@@ -0,0 +1,85 @@
+// What becomes of a datagram on a link that is at fault, and by whom it is then heard.
+#include "fleet/links.h"
+#include "fleet/world.h"
+#include "helpers.h"
+
+using namespace headrouter::fleet;
+
+static Strike struck(FaultKind kind, std::vector<int> whom, double size = 1, Way way = Way::both) {
+    Strike s;
+    s.fault.kind = kind;
+    s.fault.size = size;
+    s.fault.way = way;
+    s.balancers = std::move(whom);
+    s.from = Instant{} + seconds(1), s.until = Instant{} + seconds(2);
+    return s;
+}
+
+static const Instant within = Instant{} + seconds(1.5), healed = Instant{} + seconds(2);
+
+static size_t copies(Links& l, int from, int to, Instant at = within) {
+    return l.carry(at, from, to, "told").size();
+}
+
+static Case a_link_passes_outside_its_time_and_drops_within([] {
+    Links l({struck(FaultKind::drop, {1})}, 4, 1);
+    assert(copies(l, 1, 2, Instant{}) == 1 && copies(l, 1, 2) == 0 && copies(l, 2, 1) == 0);
+    assert(copies(l, 2, 3) == 1 && copies(l, 1, 2, healed) == 1);
+    Links some({struck(FaultKind::drop, {0, 1, 2, 3}, 0.4)}, 4, 1);
+    size_t passed = 0;
+    for (int k = 0; k < 1000; ++k) passed += copies(some, 0, 1);
+    assert(passed > 550 && passed < 650);
+});
+
+static Case one_way_is_one_way([] {
+    Links deaf({struck(FaultKind::drop, {1}, 1, Way::in)}, 4, 1);
+    assert(copies(deaf, 0, 1) == 0 && copies(deaf, 1, 0) == 1);
+    Links mute({struck(FaultKind::drop, {1}, 1, Way::out)}, 4, 1);
+    assert(copies(mute, 0, 1) == 1 && copies(mute, 1, 0) == 0);
+});
+
+static Case a_split_cuts_between_the_groups_only([] {
+    Links l({struck(FaultKind::split, {0, 1})}, 4, 1);
+    assert(copies(l, 0, 1) == 1 && copies(l, 2, 3) == 1);
+    assert(copies(l, 0, 2) == 0 && copies(l, 3, 1) == 0 && copies(l, 0, 2, healed) == 1);
+});
+
+static Case one_cut_off_still_hears_the_next_few([] {
+    Links l({struck(FaultKind::alone, {9}, 2)}, 10, 1);
+    assert(copies(l, 9, 0) == 1 && copies(l, 1, 9) == 1);  // the next two by number
+    assert(copies(l, 9, 2) == 0 && copies(l, 8, 9) == 0 && copies(l, 2, 3) == 1);
+});
+
+static Case delays_copies_and_spoilt_bytes([] {
+    Strike late = struck(FaultKind::delay, {0});
+    late.fault.span = millis(200), late.fault.spread = millis(100);
+    Links delayed({late}, 2, 1);
+    for (int k = 0; k < 100; ++k) {
+        const Span by = delayed.carry(within, 0, 1, "told")[0].later;
+        assert(by >= millis(200) && by < millis(300));
+    }
+    Links twice({struck(FaultKind::repeat, {0})}, 2, 1);
+    const auto both = twice.carry(within, 0, 1, "told");
+    assert(both.size() == 2 && both[1].later > both[0].later && both[1].bytes == "told");
+    Links spoilt({struck(FaultKind::spoil, {0})}, 2, 1);
+    for (int k = 0; k < 100; ++k) assert(spoilt.carry(within, 0, 1, "told")[0].bytes != "told");
+    Links mixed({struck(FaultKind::reorder, {0}, 0.5)}, 2, 1);
+    int overtaken = 0;
+    for (int k = 0; k < 100; ++k) overtaken += mixed.carry(within, 0, 1, "told")[0].later.ns > 0;
+    assert(overtaken > 25 && overtaken < 75);
+});
+
+static Case a_seed_gives_the_same_strikes_and_a_timeline_tells_them([] {
+    World w;
+    w.balancers = 50;
+    Fault f;
+    f.kind = FaultKind::split;
+    f.at = Instant{} + seconds(3), f.lasts = seconds(2), f.part = 0.3;
+    w.faults = {f};
+    f.kind = FaultKind::stall, f.numbers = {7}, f.at = Instant{} + seconds(1);
+    w.faults.push_back(f);
+    const auto a = strikes_of(w, 5), b = strikes_of(w, 5), c = strikes_of(w, 6);
+    assert(a.size() == 2 && a[0].balancers == std::vector<int>{7} && a[1].balancers.size() == 15);
+    assert(a[1].balancers == b[1].balancers && a[1].balancers != c[1].balancers);
+    assert(timeline_of(a).find("3.000 s to    5.000 s  split") != std::string::npos);
+});
--- /dev/null
+++ b/tests/fleet/test_spread.cpp
@@ -0,0 +1,73 @@
+// Evenness of load, beside dice and beside a choice that sees all, from what servers saw.
+#include <cmath>
+
+#include "fleet/spread.h"
+#include "helpers.h"
+
+using namespace headrouter::fleet;
+
+// So many connections come evenly over ten seconds and stay; who gets each is told by `server_of`.
+template <class Choice>
+static Spread stood(int servers, int connections, Choice server_of, std::vector<double> weights = {}) {
+    if (weights.empty()) weights.assign(static_cast<size_t>(servers), 1);
+    SpreadLog log;
+    std::vector<int> held(static_cast<size_t>(servers));
+    int next = 0;
+    for (int s = 0; s <= 24; ++s) {
+        const Instant now = Instant{} + spread_every * s;
+        for (; next < connections && Instant{} + seconds(10.0 * next / connections) < now; ++next) {
+            const int k = server_of(next);
+            log.began(Instant{} + seconds(10.0 * next / connections), static_cast<uint64_t>(next + 1), k, 1);
+            ++held[static_cast<size_t>(k)];
+        }
+        for (int k = 0; k < servers; ++k)
+            log.sample(static_cast<size_t>(s), k,
+                       held[static_cast<size_t>(k)] / weights[static_cast<size_t>(k)],
+                       held[static_cast<size_t>(k)]);
+    }
+    return spread_of(log, weights, Instant{} + seconds(10), Instant{} + seconds(12), 1);
+}
+
+static Case in_turn_is_even_and_dice_are_as_uneven_as_dice([] {
+    const Spread s = stood(20, 400, [](int k) { return k % 20; });
+    assert(s.cv < 1e-9 && s.most == 1 && s.least == 1 && s.idle == 0 && s.samples == 4);
+    assert(std::abs(s.dice - 1 / std::sqrt(20.0)) < 0.05 && s.seeing < 0.02);
+    assert(s.standing == 400);
+});
+
+static Case dice_beside_dice_are_about_one([] {
+    Pcg32 chance(9);
+    const Spread s = stood(20, 400, [&](int) { return static_cast<int>(chance.uniform() * 20); });
+    assert(s.over_dice() > 0.7 && s.over_dice() < 1.4);
+});
+
+static Case a_herd_on_one_server_and_idle_ones_are_seen([] {
+    const Spread s = stood(10, 400, [](int k) { return k < 200 ? k % 5 : 7; });
+    assert(s.idle == 0.4);  // four of ten never had one
+    SpreadLog log;
+    for (int k = 0; k < 40; ++k)
+        log.began(Instant{} + seconds(2.1), static_cast<uint64_t>(k + 1), k < 30 ? 3 : k % 10, 1);
+    for (size_t at = 0; at < 12; ++at)
+        for (int k = 0; k < 10; ++k) log.sample(at, k, at > 5 ? 4 : 0, 4);
+    const Spread herd =
+        spread_of(log, std::vector<double>(10, 1), Instant{} + seconds(1), Instant{} + seconds(4), 1);
+    assert(herd.herd == 7.75 && herd.herd_dice < 3.5);  // 31 of 40, beside a tenth
+});
+
+static Case weights_are_what_a_server_is_held_to([] {
+    const std::vector<double> weights{0.5, 1.5};
+    const Spread s = stood(
+        2, 400, [](int k) { return k % 4 == 0 ? 0 : 1; }, weights);
+    assert(s.cv < 0.01 && s.most < 1.01);
+    const Spread wrong = stood(
+        2, 400, [](int k) { return k % 2; }, weights);
+    assert(std::abs(wrong.most - 1.5) < 0.01 && std::abs(wrong.least - 0.5) < 0.01);
+});
+
+static Case servers_that_do_not_serve_are_left_out([] {
+    SpreadLog log;
+    for (size_t at = 0; at < 8; ++at)
+        for (int k = 0; k < 4; ++k) log.sample(at, k, k == 3 ? -1 : 5, k == 3 ? 0 : 5);
+    const Spread s = spread_of(log, std::vector<double>(4, 1), Instant{}, Instant{} + seconds(4), 1);
+    assert(s.cv < 1e-6 && s.idle == 0);
+});
--- /dev/null
+++ b/tests/lab/test_crowd.cpp
@@ -0,0 +1,188 @@
+// Crowds of real processes with faults between them. Each kind of fault of processes, lists and paths shows
+// its effect; the links of datagrams have tests of their own.
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include "crowds.h"
+#include "net/clock.h"
+
+using namespace headrouter::lab;
+using namespace headrouter::fleet;
+
+static double served(const Outcome& o, size_t second) {
+    return o.served_each.at(second) / o.asked_each.at(second);
+}
+
+static bool clean(const Outcome& o) {
+    return o.not_judged.empty() && o.rules_broken() == 0 && o.ended_by_themselves == 0 && o.garbled == 0;
+}
+
+static Case a_hundred_start_and_serve_through_kills_and_a_split([] {
+    const Outcome o =
+        play_crowd(crowd_world(100, 20, 16,
+                               fault("kill", 4, 1.5, "part = 0.4") + fault("split", 5, 4, "part = 0.5") +
+                                   fault("drop", 10, 2, "size = 0.4\npart = 1")));
+    assert(clean(o) && o.up > 400 && o.datagrams > 0.2);
+    assert(served(o, 3) > 0.99 && served(o, 4) < 0.95 && served(o, 14) > 0.99);
+    assert(o.stretches.size() == 2 && o.spread.standing > 300 && o.cpu > 0);
+});
+
+static void stalled_processes_answer_nothing_and_later_do() {
+    const Outcome o = play_crowd(
+        crowd_world(4, 4, 9, fault("stall", 3, 1.5, "part = 1") + fault("stall", 3.5, 2, "part = 0.25")));
+    assert(clean(o));
+    assert(served(o, 2) > 0.99 && served(o, 4) < 0.5 && served(o, 7) > 0.99);
+}
+
+// The program takes its shift to the wall clock when it starts; the round is in each message's head.
+static void a_wrong_clock_is_read_by_processes_that_start_under_it() {
+    std::mutex lock;
+    std::set<std::string> before, rounds_of_others, rounds_of_one;
+    const Outcome o = play_crowd(crowd_world(4, 4, 14,
+                                             fault("clock", 1, 12, "numbers = [0]\nsize = 100000") +
+                                                 fault("kill", 2, 0.2, "numbers = [0]")),
+                                 "headrouter", {}, [&](Instant at, int from, int, std::string_view bytes) {
+                                     const std::lock_guard held(lock);
+                                     if (bytes.size() < 5 || (bytes[1] != 'c' && bytes[1] != 's')) return;
+                                     const std::string round(bytes.substr(2, 3));
+                                     if (at > Instant{} + seconds(3))
+                                         (from == 0 ? rounds_of_one : rounds_of_others).insert(round);
+                                 });
+    assert(clean(o) && !rounds_of_one.empty() && !rounds_of_others.empty());
+    for (const std::string& round : rounds_of_one) assert(!rounds_of_others.count(round));
+}
+
+static void leaving_handing_over_and_reloading_in_order() {
+    const LogFolder logs;
+    const Outcome o = play_crowd(
+        crowd_world(6, 4, 12,
+                    fault("leave", 3, 4, "numbers = [0]") + fault("second", 3, 0, "numbers = [1, 2]") +
+                        fault("reload", 3, 1, "numbers = [3]\nset = { \"ceilings.maxLegs\" = 2 }") +
+                        fault("reload", 3, 0, "numbers = [4]\nset = { \"ceilings.peers\" = false }") +
+                        fault("kill", 4, 0, "numbers = [5]")),
+        "headrouter", logs.path);
+    assert(clean(o) && o.moved > 0);
+    for (const char* life : {"/b0.1.json", "/b1.1.json", "/b2.1.json", "/b5.1.json"})
+        assert(std::filesystem::exists(logs.path + life));
+    std::ifstream refused(logs.path + "/b4.0.log"), taken(logs.path + "/b3.0.log");
+    const auto all = [](std::ifstream& in) { return std::string(std::istreambuf_iterator<char>(in), {}); };
+    assert(all(refused).find("the configuration stays as it was") != std::string::npos && all(taken).empty());
+    std::ifstream timeline(logs.path + "/timeline.txt");
+    assert(all(timeline).find("leave") != std::string::npos);
+}
+
+// What a process that hands over was asked while it stood still; the new one starts beside it.
+static void one_that_stands_still_while_it_hands_over_breaks_nothing() {
+    const Outcome o = play_crowd(crowd_world(3, 4, 11,
+                                             fault("stall", 3, 4, "numbers = [0]") +
+                                                 fault("second", 3, 0, "numbers = [0, 1]") +
+                                                 fault("stall", 3.01, 0.5, "numbers = [1]")));
+    assert(clean(o));
+    assert(served(o, 9) > 0.99);
+}
+
+static void each_sees_the_world_by_its_own_list_and_paths() {
+    const Outcome hidden = play_crowd(crowd_world(
+        4, 4, 6,
+        fault("list_hidden", 0, 6, "part = 1\nservers = 0.25") + fault("list_silent", 2, 2, "part = 0.5")));
+    assert(clean(hidden) && hidden.spread.idle == 0.25);
+    const Outcome paths =
+        play_crowd(crowd_world(4, 4, 9,
+                               fault("path_stall", 3, 3, "part = 0.5\nservers = 0.5") +
+                                   fault("client_reset", 5, 0.3, "part = 0.25") +
+                                   fault("client_slow", 5, 1, "part = 0.25\nspan = \"30ms\"")));
+    assert(clean(paths) && paths.moved > 0 && paths.broken > 0);
+    assert(served(paths, 8) > 0.99);
+}
+
+// Side by side, each from a thread that outlives its processes: small crowds, most of their time spent
+// waiting.
+static Case each_kind_of_fault_shows_its_effect([] {
+    std::vector<std::thread> all;
+    for (void (*shows)() :
+         {stalled_processes_answer_nothing_and_later_do,
+          a_wrong_clock_is_read_by_processes_that_start_under_it, leaving_handing_over_and_reloading_in_order,
+          one_that_stands_still_while_it_hands_over_breaks_nothing,
+          each_sees_the_world_by_its_own_list_and_paths})
+        all.emplace_back(shows);
+    for (std::thread& t : all) t.join();
+});
+
+static Case a_process_that_ends_by_itself_is_told_with_the_end_of_its_log([] {
+    std::atomic<bool> done{false};
+    const LogFolder logs;
+    std::thread murderer([&] {  // not by the rig: nobody is told
+        while (!std::filesystem::exists(logs.path + "/b1.0.log")) usleep(10'000);
+        usleep(2'000'000);
+        for (const auto& e : std::filesystem::directory_iterator("/proc")) {
+            std::ifstream in(e.path() / "cmdline");
+            const std::string words(std::istreambuf_iterator<char>(in), {});
+            const int pid = std::atoi(e.path().filename().c_str());
+            if (pid > 0 && words.find(logs.path + "/b1.0.json") != std::string::npos) kill(pid, SIGSEGV);
+        }
+        done = true;
+    });
+    const Outcome o = play_crowd(crowd_world(3, 3, 5, ""), "headrouter", logs.path);
+    murderer.join();
+    assert(done && o.ended_by_themselves == 1 && o.rules_broken() >= 1);
+    assert(std::any_of(o.examples.begin(), o.examples.end(), [](const std::string& e) {
+        return e.find("b1 ended by itself, signal 11") != std::string::npos;
+    }));
+});
+
+// The lab as a program: killed, it leaves nobody behind, the stopped ones too; stopped for a second, it ran
+// late and does not judge.
+static int balancers_under(const std::string& folder) {
+    int n = 0;
+    for (const auto& e : std::filesystem::directory_iterator("/proc")) {
+        std::ifstream in(e.path() / "cmdline");
+        const std::string words(std::istreambuf_iterator<char>(in), {});
+        n += words.find("serve") != std::string::npos && words.find(folder) != std::string::npos;
+    }
+    return n;
+}
+
+static pid_t start_lab(const std::string& folder, const std::string& file) {
+    const pid_t pid = fork();
+    if (pid != 0) return pid;
+    const std::string lab = built("headrouter_lab");
+    if (!freopen("/dev/null", "w", stdout)) _exit(1);
+    execl(lab.c_str(), lab.c_str(), "crowd", file.c_str(), "--logs", folder.c_str(), nullptr);
+    _exit(127);
+}
+
+static Case a_lab_that_is_killed_or_late([] {
+    const LogFolder logs;
+    std::filesystem::create_directories(logs.path);
+    const std::string file = logs.path + "/experiment.toml";
+    std::ofstream(file)
+        << "length = \"5s\"\njudged_from = \"1s\"\nstanding = 2\n[fleet]\nservers = 3\nbalancers = 8\n"
+        << fault("stall", 0.5, 4, "part = 0.5");
+    const auto wait_for = [&](int n) {
+        for (int k = 0; k < 500 && balancers_under(logs.path) != n; ++k) usleep(10'000);
+        return balancers_under(logs.path) == n;
+    };
+    int status = 0;
+    pid_t lab = start_lab(logs.path, file);
+    assert(wait_for(8));
+    usleep(1'500'000);  // half of them stand still now
+    kill(lab, SIGKILL);
+    waitpid(lab, &status, 0);
+    assert(wait_for(0));
+    lab = start_lab(logs.path, file);
+    assert(wait_for(8));
+    usleep(1'500'000);
+    kill(lab, SIGSTOP);
+    usleep(1'000'000);
+    kill(lab, SIGCONT);
+    waitpid(lab, &status, 0);
+    assert(WIFEXITED(status) && WEXITSTATUS(status) == 3);
+    assert(balancers_under(logs.path) == 0);
+});
--- /dev/null
+++ b/tests/lab/test_planted.cpp
@@ -0,0 +1,36 @@
+// Builds with one fault each: a rig that does not find them is worth nothing. The same days pass on the
+// program as it is.
+#include <future>
+
+#include "crowds.h"
+
+using namespace headrouter::lab;
+using namespace headrouter::fleet;
+
+static uint64_t broken(const Outcome& o, Rule r) { return o.rules.at(static_cast<size_t>(r)); }
+
+// Side by side, each from a thread that outlives its processes.
+static Case each_is_found_and_the_program_as_it_is_passes([] {
+    World drains = crowd_world(10, 6, 12, "");
+    drains.drain_grace = seconds(1);
+    drains.traffic.types[0].hold = seconds(3);
+    drains.add_notice = millis(100);
+    drains.troubles.push_back({TroubleKind::deploy, Instant{} + seconds(3), seconds(8), 0.5, 1});
+    World even = crowd_world(30, 10, 14, "");
+    even.traffic.types[0].hold = seconds(5);
+    even.judged_from = seconds(8);
+    const auto plays = [](const World& w, const char* program) {
+        return std::async(std::launch::async, [&w, program] { return play_crowd(w, program); });
+    };
+    auto after_drain = plays(drains, "planted_drain"), sound_drain = plays(drains, "headrouter"),
+         twice = plays(even, "planted_twice"), herd = plays(even, "planted_herd"),
+         sound = plays(even, "headrouter");
+    const uint64_t late = broken(after_drain.get(), Rule::drain_broken);
+    const uint64_t second_answers = broken(twice.get(), Rule::call_lost);
+    const Spread herding = herd.get().spread;
+    const Outcome passes = sound.get();
+    assert(late > 0 && second_answers > 0);
+    assert(herding.herd > 1.5 * passes.spread.herd && herding.over_dice() > 1.5 * passes.spread.over_dice());
+    assert(passes.spread.over_dice() < 1.3 && passes.rules_broken() == 0);
+    assert(sound_drain.get().rules_broken() == 0);
+});
--- /dev/null
+++ b/tests/standin/test_datagrams.cpp
@@ -0,0 +1,110 @@
+// The network of datagrams with real sockets: who hears what from which address.
+#include "peers.h"
+#include "standin/datagrams.h"
+
+using namespace headrouter::standin;
+using namespace headrouter::fleet;
+
+struct Net {
+    static constexpr int n = 3;
+    Loop loop;
+    Agenda agenda{loop.loop};
+    Block block{n + 1};
+    std::vector<Datagrams::Place> places;
+    std::vector<Fd> ends;
+    std::unique_ptr<Datagrams> net;
+    explicit Net(const std::vector<Strike>& strikes = {}) {
+        for (int k = 0; k < n; ++k) {
+            places.push_back({block.host(k) + ":9090", block.host(k) + ":9091"});
+            ends.push_back(speaks_at(places.back().own));
+        }
+        net = std::make_unique<Datagrams>(agenda, places, strikes, 1);
+        agenda.begin();
+    }
+    static Fd speaks_at(const std::string& at) {
+        const Address a = *Address::from(at);
+        Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0));
+        assert(bind(fd.get(), reinterpret_cast<const sockaddr*>(&a.bytes), a.size) == 0);
+        return fd;
+    }
+    void say(const Fd& from, int to, const std::string& text) {
+        const Address a = *Address::from(places[static_cast<size_t>(to)].relay);
+        assert(sendto(from.get(), text.data(), text.size(), 0, reinterpret_cast<const sockaddr*>(&a.bytes),
+                      a.size) == static_cast<ssize_t>(text.size()));
+    }
+    // What has come, each with its sender's number by the relay's address.
+    std::vector<std::pair<int, std::string>> heard(int k) {
+        loop.turn(millis(30));
+        std::vector<std::pair<int, std::string>> all;
+        for (char bytes[512];;) {
+            sockaddr_in from{};
+            socklen_t size = sizeof from;
+            const ssize_t got = recvfrom(ends[static_cast<size_t>(k)].get(), bytes, sizeof bytes, 0,
+                                         reinterpret_cast<sockaddr*>(&from), &size);
+            if (got < 0) return all;
+            int sender = -1;
+            for (int other = 0; other < n; ++other) {
+                const Address a = *Address::from(places[static_cast<size_t>(other)].relay);
+                const auto& in = reinterpret_cast<const sockaddr_in&>(a.bytes);
+                if (in.sin_addr.s_addr == from.sin_addr.s_addr && in.sin_port == from.sin_port)
+                    sender = other;
+            }
+            all.emplace_back(sender, std::string(bytes, static_cast<size_t>(got)));
+        }
+    }
+};
+
+static Strike until_healed(FaultKind kind, Way way = Way::both) {
+    Strike s;
+    s.fault.kind = kind;
+    s.fault.way = way;
+    s.balancers = {1};
+    s.until = Instant{} + seconds(0.5);
+    return s;
+}
+
+static Case each_hears_the_others_at_the_addresses_it_knows([] {
+    Net n;
+    n.say(n.ends[0], 1, "from nought");
+    n.say(n.ends[2], 1, "from two");
+    const auto got = n.heard(1);
+    assert(got.size() == 2 && got[0] == std::pair(0, std::string("from nought")) &&
+           got[1] == std::pair(2, std::string("from two")));
+    assert(n.heard(0).empty() && n.net->counts().sent == 2 && n.net->counts().bytes == 19);
+});
+
+static Case what_is_lost_does_not_arrive_and_does_after_it_has_healed([] {
+    Net n({until_healed(FaultKind::drop)});
+    n.say(n.ends[0], 1, "lost");
+    assert(n.heard(1).empty());
+    n.loop.turn(millis(500));
+    n.say(n.ends[0], 1, "heard");
+    assert(n.heard(1).size() == 1 && n.net->counts().sent == 2 && n.net->counts().arrived == 1);
+});
+
+static Case a_one_way_link_is_one_way([] {
+    Net n({until_healed(FaultKind::drop, Way::in)});
+    n.say(n.ends[0], 1, "not heard");
+    n.say(n.ends[1], 0, "heard");
+    assert(n.heard(1).empty() && n.heard(0).size() == 1);
+});
+
+static Case a_late_one_is_overtaken([] {
+    Strike s = until_healed(FaultKind::delay);
+    s.fault.span = millis(100);
+    s.until = Instant{} + millis(40);
+    Net n({s});
+    n.say(n.ends[0], 1, "first");
+    n.loop.turn(millis(60));
+    n.say(n.ends[0], 1, "second");
+    n.loop.turn(millis(80));
+    const auto got = n.heard(1);
+    assert(got.size() == 2 && got[0].second == "second" && got[1].second == "first");
+});
+
+static Case strangers_are_not_passed_on([] {
+    Net n;
+    const Fd stranger = Net::speaks_at(n.block.host(3) + ":9090");
+    n.say(stranger, 1, "who am I");
+    assert(n.heard(1).empty() && n.net->counts().foreign == 1);
+});
