--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -66,15 +66,16 @@
 
 // Pooled counts: two rounds a term; how far over its share and by how many connections a server may go for a
 // group where all balancers' are known. Holders are told soon, since crowds come back within a second.
-constexpr Span round_time = seconds(5), digests_within = seconds(0.1), sum_after = seconds(0.25);
+constexpr Span round_time = peers::round_time, digests_within = seconds(0.1), sum_after = seconds(0.25);
 constexpr double pool_slack = 3, pool_room = 8, told_over = 1.5;  // the last: to be named in a sum
-// How far from what was known one sum may lead; a sum over less than half of the balancers says little.
-constexpr double rounds_trusted = 2, rounds_faded = 6, sum_doubted = 1.5, most_scaled = 2;
+constexpr int pool_tries = 3;  // at servers with room for all, before the own share decides
 // Bytes over all who read them: what a call earns, what is saved up, what a pair costs with its message.
 constexpr double credit_a_call = 60, most_credit = 2400, cost_of_pair = 12;
 constexpr Span holder_kept = seconds(120), holder_again = seconds(60), holder_within = seconds(0.05);
 
-enum Timer : uint64_t { term_begins = 1, term_sheds, shed_next, hold_over, ask_again, rounds, sum, tell };
+// Timers, by the lowest byte of their tokens.
+constexpr uint64_t term_begins = 1, term_sheds = 2, shed_next = 3, hold_over = 4, ask_again = 5, rounds = 6,
+                   sum = 7, tell = 8, pool = 9;
 
 // A list may name a server without weight; it still counts for something, so that shares stay finite.
 double plain_weight(const Server& s) { return std::max(s.listed.weight, 1e-3); }
@@ -102,10 +103,13 @@
     told.slot = told_.slot;  // what was drawn from it stands
     told_ = std::move(told);
     told_.tells_peers = told_.tells_peers && told_.slot < static_cast<uint64_t>(told_.balancers);
+    pool_.number(static_cast<int>(told_.slot), told_.balancers);
+    if (told_.tells_peers && told_.pools && !pool_timer_) out_.set_timer(Instant{}, pool);
+    pool_timer_ = told_.tells_peers && told_.pools;
+    draw_servers();
     if (told_.tells_peers && !round_timer_) out_.set_timer(Instant{}, rounds);
     round_timer_ = told_.tells_peers;
-    type_load_.resize(told_.types.size());
-    type_seen_.resize(told_.types.size());
+    loads_.types(told_.types.size());
     shortest_message_ = seconds(1000);
     for (const TrafficType& t : told_.types)
         if (t.message_target.ns > 0) shortest_message_ = std::min(shortest_message_, t.message_target);
@@ -163,6 +167,12 @@
 // the sum over all balancers right and each to the servers that rank highest for it.
 void Brain::place_alone(const Room& room, Call& call) {
     const int n = static_cast<int>(servers_.size());
+    for (int tries = 0; told_.pools && room.back_from < 0 && tries < pool_tries; ++tries) {
+        const int k = pool_.choose(room.now, chance_.uniform());
+        if (k < 0) break;
+        const double ready = share_of(room.fleet, k) / std::max(room.fleet.each * servers_[k].weight, 1e-9);
+        if (is_open(room, k) && !is_slow(room, k) && chance_.uniform() < ready) return void(call.chosen = k);
+    }
     for (int tries = 0; tries < few_tries; ++tries) {  // against a pass over a large fleet for every call
         const int k = static_cast<int>(chance_.uniform() * n);
         if (has_room(room, k, false)) return void(call.chosen = k);
@@ -263,7 +273,7 @@
     if (grouped && room.pool_trust > 0) {
         const Server& s = servers_[k];
         const double own = (load + room.load - group_room * spare) / std::max(share * group_slack, 1e-9);
-        const double pooled_share = share / std::max(room.fleet.total, 1e-9) * pool_total_;
+        const double pooled_share = share / std::max(room.fleet.total, 1e-9) * rounds_.total;
         const double pooled = s.pooled + load - s.own_then + room.load - pool_room * spare;
         const double all = pooled / std::max(pooled_share * pool_slack, 1e-9);
         return room.pool_trust * all + (1 - room.pool_trust) * std::min(own, 2.0) <= 1;
@@ -364,22 +374,16 @@
 
 // ---- shares (design 1) ----
 
-double Brain::usual_load() const { return all_seen_ > 0 ? all_load_ / all_seen_ : 1; }
-
 // Counts do not mirror load where types differ in it: a connection counts by its told load, else by what its
 // type was seen to need, in units of a usual connection.
-double Brain::type_load(size_t type) const {
-    return type_seen_[type] > 0 ? type_load_[type] / type_seen_[type] / usual_load() : 1;
-}
-
 double Brain::load_of(const Call& call) const {
-    return call.load >= 0 ? call.load / usual_load() : type_load(call.type);
+    return call.load >= 0 ? call.load / loads_.usual() : loads_.of(call.type);
 }
 
 double Brain::load_in(const Holding& h) const {
-    double load = h.told_load / usual_load();
+    double load = h.told_load / loads_.usual();
     for (size_t k = 0; k < h.untold.size(); ++k)
-        if (h.untold[k] > 0) load += h.untold[k] * type_load(k);
+        if (h.untold[k] > 0) load += h.untold[k] * loads_.of(k);
     return load;
 }
 
@@ -519,15 +523,7 @@
 const Brain::Draw& Brain::draw_of(const std::string& name) {
     if (draws_.size() >= draws_kept && !draws_.count(name)) draws_.clear();  // bounded: made anew when needed
     Draw& draw = draws_[name];
-    if (draw.at.size() == servers_.size()) return draw;
-    const uint64_t seed = hash_of(name);
-    while (draw.at.size() < servers_.size()) {
-        const Server& s = servers_[draw.at.size()];
-        const double u = Pcg32(seed, s.hash).uniform();
-        draw.order.push_back(static_cast<int>(draw.at.size()));
-        draw.at.push_back(-std::log(u) / s.weight);
-    }
-    std::sort(draw.order.begin(), draw.order.end(), [&](int a, int b) { return draw.at[a] < draw.at[b]; });
+    if (draw.at.size() < servers_.size()) spread::draw_on(hash_of(name), parts(), draw.at, draw.order);
     return draw;
 }
 
@@ -584,14 +580,16 @@
 void Brain::call_arrived(Instant now, Call call) {
     const CallId id = call.id;
     if (!call.again) tell_credit_ = std::min(tell_credit_ + credit_a_call, most_credit);
-    if (call.hinted_load) learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
+    if (call.hinted_load)
+        loads_.learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
     Call& kept = calls_[id] = std::move(call);
     run_chain(now, kept);
 }
 
 void Brain::call_inherited(Instant now, Call call, const ServerId& server) {
     if (!index_.count(server)) apply_listed(now, Listed{server, 1, Condition::left, 0, 0, {}});
-    if (call.hinted_load) learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
+    if (call.hinted_load)
+        loads_.learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
     Call& kept = calls_[call.id] = std::move(call);
     kept.legs.push_back(Leg{index_.at(server), now, false, true});
     kept.may_have_run = 0;
@@ -650,16 +648,6 @@
     forget(id);
 }
 
-// What a type needs is halved in weight now and then, so that old days do not outvote the present one.
-void Brain::learn(int type, double micros) {
-    if (type_seen_[type] > 400) {
-        all_load_ -= type_load_[type] /= 2;
-        all_seen_ -= type_seen_[type] /= 2;
-    }
-    type_load_[type] += micros, all_load_ += micros;
-    type_seen_[type] += 1, all_seen_ += 1;
-}
-
 void Brain::load_told(Instant, CallId id, double micros) {
     const auto it = calls_.find(id);
     if (it == calls_.end() || it->second.slot < 0 || !(micros >= 0)) return;
@@ -669,7 +657,7 @@
         h->told_load += micros - std::max(0.0, call.load);
     }
     call.load = micros;
-    learn(call.type, micros);
+    loads_.learn(call.type, micros);
 }
 
 // ---- distrust ----
@@ -879,6 +867,7 @@
     if (!(round_timer_ = told_.tells_peers)) return;
     const int64_t round = round_at(now);
     out_.set_timer(begin_of(round + 1) + digests_within * chance_.uniform(), rounds);
+    if (told_.pools && !told_.groups) return;  // these counts are for groups
     const int by = summed_by(round);
     if (by == static_cast<int>(told_.slot)) return out_.set_timer(begin_of(round) + sum_after, sum);
     out_.tell_peer(by, pack(peers::Kind::counts, round, 1, load_in(all_), own_counts()));
@@ -901,43 +890,41 @@
 
 void Brain::end_round(Instant now) {
     const int64_t round = round_at(now);
-    tally_.add(round, static_cast<int>(told_.slot), told_.balancers, load_in(all_), own_counts());
-    const double total = tally_.total.sane();
-    const peers::Rows rows = tally_.over(total / std::max(1, listed_active_) * told_over);
-    out_.tell_peer(everyone_else, pack(peers::Kind::sum, round, tally_.tellers(), total, rows));
-    take_sum(now, round, tally_.tellers(), total, rows);
+    rounds_.tally.add(round, static_cast<int>(told_.slot), told_.balancers, load_in(all_), own_counts());
+    const double total = rounds_.tally.total.sane();
+    const peers::Rows rows = rounds_.tally.over(total / std::max(1, listed_active_) * told_over);
+    out_.tell_peer(everyone_else, pack(peers::Kind::sum, round, rounds_.tally.tellers(), total, rows));
+    take_sum(now, round, rounds_.tally.tellers(), total, rows);
 }
 
 void Brain::take_sum(Instant now, int64_t round, size_t tellers, double total, const peers::Rows& rows) {
-    const double scale = std::max(1.0, told_.balancers / static_cast<double>(tellers));
-    if (round <= last_round_ || scale > most_scaled) return;
-    last_round_ = round;
-    std::vector<double> told(servers_.size(), -1);
-    double rest = total, weights = plain_weight_;
-    for (const auto& [k, load] : rows) {
-        told[k] = load, rest -= load;
-        if (servers_[k].listed.condition == Condition::active) weights -= plain_weight(servers_[k]);
-    }
-    // Nothing is believed from one alone: a sum leads only so far from what was known, the next has another
-    // sender. A balancer that holds nothing yet knows nothing to doubt it by.
-    const double known = pooled_at_.ns > 0 ? pool_total_ : load_in(all_) * told_.balancers / sum_doubted;
-    pool_total_ = std::max(total * scale, known / sum_doubted);
-    for (size_t k = 0; k < servers_.size(); ++k) {
-        Server& s = servers_[k];
-        const double part = pool_total_ * plain_weight(s) / std::max(plain_weight_, 1e-9);
-        const double x =
-            told[k] >= 0 ? told[k] : std::max(0.0, rest) * plain_weight(s) / std::max(weights, 1e-9);
-        s.pooled = std::min(x * scale, sum_doubted * std::max(s.pooled, part) + pool_room);
-        s.own_then = load_on(s);
+    std::vector<peers::Rounds::Known> known;
+    for (const Server& s : servers_)
+        known.push_back({plain_weight(s), s.listed.condition == Condition::active, s.pooled});
+    if (!rounds_.take(now, round, tellers, told_.balancers, total, load_in(all_), rows, known)) return;
+    for (size_t k = 0; k < servers_.size(); ++k)
+        servers_[k].pooled = known[k].pooled, servers_[k].own_then = load_on(servers_[k]);
+}
+
+double Brain::pool_trust(Instant now) const { return told_.tells_peers ? rounds_.trust(now) : 0; }
+
+// Every server's room over all balancers, asked for and told by way of one of them (departure 12).
+void Brain::beat_pool(Instant now) {
+    if (!pool_timer_) return;
+    out_.set_timer(now + spread::Pool::beat_time, pool);
+    std::vector<spread::Pool::Row> own;
+    std::vector<spread::Pool::Listed> listed;
+    for (int k = 0; k < static_cast<int>(servers_.size()); ++k) {
+        const Server& s = servers_[k];
+        const uint32_t name = peers::ShortNames::of(s.listed.server);
+        if (s.listed.condition != Condition::active || names_.find(name) != k) continue;
+        listed.push_back({k, name, plain_weight(s)});
+        const bool bad =
+            s.failures_in_row > 0 || (!s.mild && bare_ceiling(now, s) < std::max(load_on(s), full_share(s)));
+        if (bad || !s.standing.empty()) own.push_back({k, bad ? peers::met_bad : load_on(s)});
     }
-    pooled_at_ = now;
-}
-
-// Whole for two rounds, then less and less: what is not told again fades to the own counts.
-double Brain::pool_trust(Instant now) const {
-    if (!told_.tells_peers || pooled_at_.ns == 0) return 0;
-    const double rounds = (now - pooled_at_) / round_time;
-    return std::clamp((rounds_faded - rounds) / (rounds_faded - rounds_trusted), 0.0, 1.0);
+    for (const auto& told : pool_.beat(now, now + told_.wall_ahead, own, listed))
+        out_.tell_peer(told.to, told.bytes);
 }
 
 bool Brain::peer_told(Instant now, int slot, const std::string& bytes) {
@@ -948,6 +935,10 @@
     for (const peers::Held& h : told.held)
         if (const int k = names_.find(h.server); k >= 0) holders_.at(h.group, k) = {k, now, now, false};
     if (told.kind == peers::Kind::held) return true;
+    if (told.kind == peers::Kind::now || told.kind == peers::Kind::room) {
+        if (told_.pools) pool_.hear(now, slot, told);
+        return true;
+    }
     int64_t round = round_at(now) - 1;  // rounds come without their high bits; late ones are passed over
     while (round <= round_at(now) + 1 && round % peers::rounds != told.round) ++round;
     if (round > round_at(now) + 1) return true;
@@ -955,7 +946,7 @@
     for (const peers::Counted& c : told.counted)
         if (const int k = names_.find(c.server); k >= 0) rows.emplace_back(k, c.load);
     if (told.kind == peers::Kind::counts && summed_by(round) == static_cast<int>(told_.slot))
-        tally_.add(round, slot, told_.balancers, told.total, rows);
+        rounds_.tally.add(round, slot, told_.balancers, told.total, rows);
     if (told.kind == peers::Kind::sum && summed_by(round) == slot)
         take_sum(now, round, told.tellers, told.total, rows);
     return true;
@@ -977,20 +968,12 @@
     if (!std::exchange(tell_timer_, true)) out_.set_timer(now + holder_within * chance_.uniform(), tell);
 }
 
-// As many as the calls since have earned; what is left out is told when another member is placed.
 void Brain::tell_holders() {
     tell_timer_ = false;
-    const double cost = cost_of_pair * (told_.balancers - 1);
     std::vector<peers::Held> rows;
-    for (const auto& [group, server] : std::exchange(to_tell_, {})) {
-        peers::Holders::Holder& h = holders_.at(group, server);
-        if (!std::exchange(h.to_tell, false)) continue;
-        const bool fits = tell_credit_ >= cost && rows.size() < peers::most_held;
-        if (!fits) h.told = Instant{};
-        if (!fits) continue;
-        tell_credit_ -= cost;
+    for (const auto& [group, server] :
+         holders_.earned(std::exchange(to_tell_, {}), tell_credit_, cost_of_pair * (told_.balancers - 1)))
         rows.push_back({group, peers::ShortNames::of(servers_[server].listed.server)});
-    }
     if (!rows.empty()) out_.tell_peer(everyone_else, peers::pack_held(rows));
 }
 
@@ -1024,6 +1007,23 @@
         listed_weight_ += s.weight, plain_weight_ += plain_weight(s), ++listed_active_;
     }
     usual_weight_ = std::max(usual_weight_, plain_weight_);
+    draw_servers();
+}
+
+// By the own number's place among so many, where both are told; else each for itself (departure 9).
+void Brain::draw_servers() {
+    const bool by_number = told_.own_order && told_.slot < static_cast<uint64_t>(told_.balancers);
+    const std::vector<spread::Part> all = parts();
+    const auto draws = by_number ? spread::own_draws(told_.slot, told_.balancers, all)
+                                 : spread::alone_draws(told_.slot, all);
+    for (size_t k = 0; k < servers_.size(); ++k) servers_[k].draw = draws[k];
+}
+
+std::vector<spread::Part> Brain::parts() const {
+    std::vector<spread::Part> all;
+    for (const Server& s : servers_)
+        all.push_back({s.hash, s.weight, s.listed.condition == Condition::active});
+    return all;
 }
 
 void Brain::apply_listed(Instant now, const Listed& entry) {
@@ -1035,7 +1035,6 @@
         s.hash = hash_of(entry.server);
         weigh(s);
         names_.add(entry.server, it->second);
-        s.draw = -std::log(Pcg32(told_.slot, s.hash).uniform());
         return entry.launched ? begin_warm_up(*entry.launched, s) : void();
     }
     Server& s = servers_[it->second];
@@ -1090,6 +1089,7 @@
         case rounds: return begin_round(now);
         case sum: return end_round(now);
         case tell: return tell_holders();
+        case pool: return beat_pool(now);
         case hold_over: {
             hold_timer_ = false;
             std::deque<CallId> waiting;
--- a/src/brain.h
+++ b/src/brain.h
@@ -15,8 +15,12 @@
 #include "base/bucket_ring.h"
 #include "base/pcg32.h"
 #include "base/time.h"
+#include "loads/type_loads.h"
 #include "peers/peer_bytes.h"
+#include "peers/rounds.h"
 #include "peers/tally.h"
+#include "spread/order.h"
+#include "spread/pool.h"
 
 namespace headrouter {
 
@@ -50,6 +54,9 @@
     int balancers = 1;         // of this tier, this one counted
     Span wall_ahead;           // of the module's clock: rounds are by the clock that all share
     bool tells_peers = false;  // they may send one another messages
+    // The operator's own, off unless switched on: servers in an order by the own number; room pooled over
+    // all.
+    bool own_order = false, pools = false;
     double fall_multiple = 3;  // of what a cold server can do, sent to it: it falls over
 };
 
@@ -238,7 +245,6 @@
     const Draw& draw_of(const std::string& name);
     void count_group(const Server&, const std::string& group, int members);
     int members_on(int server, const std::string& group) const;
-    double type_load(size_t type) const;
     double load_in(const Holding&) const;
     double bare_ceiling(Instant, const Server&) const;
     double ceiling_of(Instant, const Server&) const;
@@ -250,8 +256,6 @@
     bool cold_budget_left(Instant, const Server&, double load, double total) const;
     void weigh(Server&);
     void begin_warm_up(Instant from, Server&);
-    double usual_load() const;
-    void learn(int type, double micros);
     double load_of(const Call&) const;
     double load_on(const Server&) const;
     double distrust(Instant, const Server&) const;
@@ -283,6 +287,9 @@
     Instant begin_of(int64_t round) const;
     int summed_by(int64_t round) const;
     double pool_trust(Instant) const;
+    void beat_pool(Instant);
+    void draw_servers();
+    std::vector<spread::Part> parts() const;
     void note_placed(Instant, const std::string& group, int server);
     void tell_holders();
 
@@ -300,8 +307,7 @@
     int listed_active_ = 0, lists_ = 0, used_ = 0;
     std::unordered_map<CallId, Call> calls_;
     std::deque<CallId> held_;
-    std::vector<double> type_load_, type_seen_;
-    double all_load_ = 0, all_seen_ = 0;
+    TypeLoads loads_;
     std::map<std::string, KeyNote> keys_;
     std::deque<std::pair<std::string, Instant>> key_age_;
     Span shortest_message_;
@@ -311,14 +317,12 @@
     double usual_weight_ = 1e-9;  // of all that is listed, falling slowly
     // What peers told, and what is gathered for them.
     peers::ShortNames names_;
-    peers::Tally tally_;  // of the round that this balancer sums
+    peers::Rounds rounds_;
     peers::Holders holders_;
-    double pool_total_ = 0;
-    Instant pooled_at_;
-    int64_t last_round_ = -1;
+    spread::Pool pool_;
     std::vector<std::pair<uint32_t, int>> to_tell_;
     double tell_credit_ = 2400;  // bytes over all who read them, earned by calls
-    bool tell_timer_ = false, round_timer_ = false;
+    bool tell_timer_ = false, round_timer_ = false, pool_timer_ = false;
 };
 
 }  // namespace headrouter
--- a/src/capture/frame.cpp
+++ b/src/capture/frame.cpp
@@ -63,7 +63,7 @@
     const size_t actions = visit_size(a, f.did.size());
     if constexpr (!A::writes) f.did.resize(actions);
     for (Did& d : f.did) visit(a, d);
-    if (f.what == Told::settings) visit_later(a, f.settings);
+    if (f.what == Told::settings) visit_later(a, f.settings), visit_latest(a, f.settings);
 }
 
 void check(bool holds, const char* what) {
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -23,6 +23,13 @@
     }
     template <class A>
     static void visit_state(A&, Brain&);
+    template <class A>
+    static void visit_state(A&, spread::Pool&);
+    template <class A, class List, class Visit>
+    static void visit_all(A& a, List& all, Visit each) {
+        all.resize(capture::visit_size(a, all.size()));
+        for (auto& one : all) each(one);
+    }
 
     static bool holds(const Brain& b, CallId id) { return b.calls_.count(id) > 0; }
     static const Call& call(const Brain& b, CallId id) { return b.calls_.at(id); }
@@ -54,6 +61,19 @@
     visit(a, d.balancers), visit(a, d.tells_peers), visit(a, d.fall_multiple), visit(a, d.wall_ahead);
 }
 
+// And later still.
+template <class A>
+void visit_latest(A& a, Deployment& d) {
+    if constexpr (!A::writes)
+        if (a.left() == 0) return;
+    visit(a, d.own_order), visit(a, d.pools);
+}
+
+template <class A>
+void visit(A& a, peers::Counted& c) {
+    visit(a, c.server), visit(a, c.load);
+}
+
 template <class A>
 void visit(A& a, peers::Tally::Sum& s) {
     visit(a, s.all), visit(a, s.most), visit(a, s.next);
@@ -116,6 +136,21 @@
 
 }  // namespace capture
 
+template <class A>
+void StateAccess::visit_state(A& a, spread::Pool& p) {
+    using capture::visit;
+    visit(a, p.own_), visit(a, p.balancers_), visit(a, p.epoch_), visit(a, p.tried_), visit(a, p.tries_), visit(a, p.told_count_);
+    visit(a, p.beat_at_), visit(a, p.told_at_), visit(a, p.turned_at_),
+        visit(a, p.lost_at_), visit(a, p.last_told_);
+    visit_all(a, p.list_,
+              [&](spread::Pool::Listed& l) { visit(a, l.server), visit(a, l.name), visit(a, l.weight); });
+    visit_all(a, p.tellers_,
+              [&](spread::Pool::Teller& t) { visit(a, t.heard), visit(a, t.count), visit(a, t.rows); });
+    visit_state(a, p.came_);
+    visit(a, p.summed_at_), visit(a, p.sums_since_), visit(a, p.room_count_), visit(a, p.rooms_);
+    visit(a, p.heard_count_), visit(a, p.heard_from_), visit(a, p.heard_at_), visit(a, p.placed_);
+}
+
 // Every field of the class, in its order: one that is left out shows in the test that plays on from a state.
 template <class A>
 void StateAccess::visit_state(A& a, Brain& b) {
@@ -143,8 +178,8 @@
     visit(a, b.unusual_), visit(a, b.all_), visit(a, b.standing_), visit(a, b.pairs_),
         visit(a, b.listed_weight_);
     visit(a, b.plain_weight_), visit(a, b.listed_active_), visit(a, b.lists_), visit(a, b.used_);
-    visit(a, b.calls_), visit(a, b.held_), visit(a, b.type_load_), visit(a, b.type_seen_);
-    visit(a, b.all_load_), visit(a, b.all_seen_);
+    visit(a, b.calls_), visit(a, b.held_), visit(a, b.loads_.load), visit(a, b.loads_.seen);
+    visit(a, b.loads_.all_load), visit(a, b.loads_.all_seen);
     size_t keys = capture::visit_size(a, b.keys_.size());
     const auto visit_key = [&](Brain::KeyNote& k) { visit(a, k.server), visit(a, k.at), visit(a, k.parked); };
     if constexpr (A::writes) {
@@ -163,10 +198,15 @@
     if constexpr (!A::writes)
         if (a.left() == 0) return;
     for (Server& s : b.servers_) visit(a, s.pooled), visit(a, s.own_then);
-    visit(a, b.names_.numbers_), visit(a, b.tally_), visit(a, b.holders_.groups_);
-    visit(a, b.pool_total_), visit(a, b.pooled_at_), visit(a, b.last_round_), visit(a, b.to_tell_),
+    visit(a, b.names_.numbers_), visit(a, b.rounds_.tally), visit(a, b.holders_.groups_);
+    visit(a, b.rounds_.total), visit(a, b.rounds_.at), visit(a, b.rounds_.last), visit(a, b.to_tell_),
         visit(a, b.tell_credit_);
     visit(a, b.tell_timer_), visit(a, b.round_timer_);
+    if constexpr (!A::writes)
+        if (a.left() == 0) return;
+    visit_latest(a, b.told_);
+    visit(a, b.pool_timer_);
+    visit_state(a, b.pool_);
 }
 
 }  // namespace headrouter
--- a/src/fleet/world.cpp
+++ b/src/fleet/world.cpp
@@ -59,6 +59,7 @@
     d.max_advice = w.advises ? w.max_advice : Span{};
     if (w.messages || w.tells_size) d.balancers = w.balancers;
     d.tells_peers = w.messages && w.balancers > 1;
+    d.own_order = w.by_number, d.pools = w.pooled;
     for (const MachineKind& k : w.kinds) d.cold_time = std::max(d.cold_time, k.cold_time);
     return d;
 }
--- a/src/fleet/world.h
+++ b/src/fleet/world.h
@@ -85,6 +85,7 @@
     Traffic traffic;
     std::vector<Trouble> troubles;
     bool messages = false;          // balancers tell one another
+    bool by_number = false, pooled = false;  // the operator's [spread]
     bool tells_size = false;        // each is told how many they are; always so with messages
     Span peer_latency = millis(2);  // of a datagram between two of them
     std::vector<Fault> faults;
--- a/src/lab/crowd.cpp
+++ b/src/lab/crowd.cpp
@@ -84,6 +84,12 @@
           folder_(std::move(folder)),
           seats_(static_cast<size_t>(w.balancers)) {
         for (const Strike& s : rig.strikes()) has_clocks_ = has_clocks_ || s.fault.kind == FaultKind::clock;
+        operator_file_ = play.operator_file;
+        if (operator_file_.empty() && (w.by_number || w.pooled)) {
+            operator_file_ = folder_ + "/operator.toml";
+            std::ofstream(operator_file_) << "[spread]\nby_number = " << (w.by_number ? "true" : "false")
+                                          << "\npooled = " << (w.pooled ? "true" : "false") << "\n";
+        }
         if (has_clocks_ && access(play.clock.c_str(), R_OK) != 0)
             throw std::runtime_error("'" + play.clock + "', the library of clocks, is not there");
     }
@@ -183,8 +189,8 @@
         Seat& s = seat(b);
         const std::string name = rig_.seat(b).name + "." + std::to_string(s.lives);
         s.ops = rig_.ops(b, s.lives);
-        s.life = std::make_unique<Child>(program.empty() ? play_.program : program, folder_, name,
-                                         play_.operator_file);
+        s.life =
+            std::make_unique<Child>(program.empty() ? play_.program : program, folder_, name, operator_file_);
         if (has_clocks_) {
             if (!s.clock)
                 s.clock = std::make_unique<WrongClock>(folder_ + "/" + rig_.seat(b).name + ".clock");
@@ -354,7 +360,7 @@
     const World& w_;
     const CrowdPlay& play_;
     standin::CrowdRig& rig_;
-    std::string folder_;
+    std::string folder_, operator_file_;
     std::vector<Seat> seats_;
     std::multimap<Instant, std::function<void()>> due_;
     bool has_clocks_ = false, over_ = false;
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -39,6 +39,8 @@
     f.flag("tells_delay", w.tells_delay);
     f.flag("messages", w.messages);
     f.flag("tells_size", w.tells_size);
+    f.flag("by_number", w.by_number);
+    f.flag("pooled", w.pooled);
     f.span("peer_latency", w.peer_latency, millis(0.1), seconds(10));
     f.number("skew", w.skew, 1, 1000);
     f.number("quiet", w.quiet, 0, 0.99);
--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -67,6 +67,13 @@
         balancer.stop_recording();
 }
 
+// What the module is told by the operator's file beside the platform's settings.
+Boot with_file(Boot boot, const OperatorFile& file) {
+    boot.told.deployment.own_order = file.own_order;
+    boot.told.deployment.pools = file.pools;
+    return boot;
+}
+
 int serve(const Boot& boot, const Said& said, OperatorFile file, const Clock& clock, Log& log) {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // until the loop listens: it must not end a balancer that still starts
@@ -90,7 +97,7 @@
         Asked& a = *static_cast<Asked*>(w->data);
         try {  // both are read before anything is taken over
             OperatorFile now = operator_file(a.said);
-            a.balancer->reload(read_boot_here(a.said.path, a.clock, Read::again));
+            a.balancer->reload(with_file(read_boot_here(a.said.path, a.clock, Read::again), now));
             a.file = std::move(now);
             set_log(a.log, a.file);
             set_recording(*a.balancer, a.file);
@@ -192,7 +199,7 @@
         Log log(std::clog, Level::info, boot.name);
         OperatorFile file = operator_file(said);
         set_log(log, file);
-        return command == "check" ? check(boot, file) : serve(boot, said, std::move(file), clock, log);
+        return command == "check" ? check(boot, file) : serve(with_file(boot, file), said, file, clock, log);
     } catch (const Malformed& fault) {
         std::cerr << "headrouter: " << fault.what() << "\n";
         return 1;
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -17,6 +17,12 @@
     f.finish();
 }
 
+static void read_spread(Fields f, OperatorFile& o) {
+    f.flag("by_number", o.own_order);
+    f.flag("pooled", o.pools);
+    f.finish();
+}
+
 static void read_capture(Fields f, OperatorFile::Capture& c) {
     const Span least = seconds(1), most = seconds(366.0 * 86400);
     int segment_mb = 16, keep_mb = 1024, queue_mb = 8;
@@ -39,6 +45,7 @@
     Fields f(root, file, "");
     OperatorFile o;
     for (const Fields& log : f.table("log")) read_log(log, o);
+    for (const Fields& s : f.table("spread")) read_spread(s, o);
     for (const Fields& c : f.table("capture")) read_capture(c, o.capture.emplace());
     f.finish();
     return o;
--- a/src/peers/peer_bytes.cpp
+++ b/src/peers/peer_bytes.cpp
@@ -12,6 +12,10 @@
 constexpr size_t counted_size = server_digits + 1, held_size = group_digits + server_digits;
 constexpr size_t counts_head = 2 + round_digits + teller_digits + total_digits, held_head = 2;
 static_assert(counts_head + most_counted * counted_size <= longest_message);
+constexpr size_t now_head = 3, room_head = 5, rooms_a_digit = 3;
+static_assert(now_head + most_counted * counted_size <= longest_message);
+static_assert(room_head + most_rooms / rooms_a_digit <= longest_message);
+constexpr uint32_t bad_steps = 63;
 static_assert(held_head + most_held * held_size <= longest_message);
 // A load has one digit: its logarithm, from a quarter of a connection in steps of 15 %.
 constexpr double least_load = 0.25, load_step = 1.15, total_step = 0.25;
@@ -47,6 +51,36 @@
     return bytes;
 }
 
+static uint32_t steps_of(double load) {
+    const double steps = std::log(std::max(load, least_load) / least_load) / std::log(load_step);
+    return static_cast<uint32_t>(std::clamp(std::round(steps), 0.0, bad_steps - 1.0));
+}
+
+std::string pack_now(uint32_t count, std::vector<Counted> rows) {
+    std::stable_sort(rows.begin(), rows.end(), [](const auto& a, const auto& b) { return a.load > b.load; });
+    std::string bytes{version, static_cast<char>(Kind::now)};
+    put(bytes, count % message_counts, 1);
+    for (size_t k = 0; k < std::min(rows.size(), most_counted); ++k) {
+        put(bytes, rows[k].server % server_names, server_digits);
+        put(bytes, rows[k].load < 0 ? bad_steps : steps_of(rows[k].load), 1);
+    }
+    return bytes;
+}
+
+std::string pack_room(uint32_t count, uint32_t mark, const std::vector<int>& rooms) {
+    std::string bytes{version, static_cast<char>(Kind::room)};
+    put(bytes, count % message_counts, 1);
+    put(bytes, mark % list_marks, 2);
+    for (size_t k = 0; k < std::min(rooms.size(), most_rooms); k += rooms_a_digit) {
+        uint64_t digit = 0;
+        for (size_t j = 0; j < rooms_a_digit; ++j)
+            digit = digit << 2 |
+                    static_cast<uint64_t>(k + j < rooms.size() ? std::clamp(rooms[k + j], 0, most_room) : 0);
+        put(bytes, digit, 1);
+    }
+    return bytes;
+}
+
 std::string pack_held(const std::vector<Held>& rows) {
     std::string bytes{version, static_cast<char>(Kind::held)};
     for (size_t k = 0; k < std::min(rows.size(), most_held); ++k) {
@@ -56,6 +90,25 @@
     return bytes;
 }
 
+bool Reader::read_pool(std::string_view bytes) {
+    if (!take(bytes, 1, count)) return false;
+    if (kind == Kind::now) {
+        if (bytes.size() % counted_size != 0) return false;
+        for (uint32_t server = 0, steps = 0; !bytes.empty();) {
+            if (!take(bytes, server_digits, server) || !take(bytes, 1, steps)) return false;
+            counted.push_back(
+                {server, steps == bad_steps ? met_bad : least_load * std::pow(load_step, steps)});
+        }
+        return true;
+    }
+    if (!take(bytes, 2, mark)) return false;
+    for (uint32_t digit = 0; !bytes.empty();) {
+        if (!take(bytes, 1, digit)) return false;
+        for (const int shift : {4, 2, 0}) rooms.push_back(static_cast<int>(digit >> shift & 3));
+    }
+    return true;
+}
+
 bool Reader::read(std::string_view bytes) {
     if (bytes.size() < held_head || bytes.size() > longest_message || bytes[0] != version) return false;
     kind = static_cast<Kind>(bytes[1]);
@@ -67,6 +120,7 @@
                 return false;
         return !held.empty();
     }
+    if (kind == Kind::now || kind == Kind::room) return read_pool(bytes);
     if (kind != Kind::counts && kind != Kind::sum) return false;
     uint32_t many = 0, whole = 0;
     if (!take(bytes, round_digits, round) || !take(bytes, teller_digits, many) ||
--- a/src/peers/peer_bytes.h
+++ b/src/peers/peer_bytes.h
@@ -13,7 +13,7 @@
 constexpr size_t most_counted = 80, most_held = 48;  // rows that fit one message
 constexpr uint32_t server_names = 1 << 12, group_names = 1 << 18, rounds = 1 << 18;
 
-enum class Kind : char { counts = 'c', sum = 's', held = 'h' };
+enum class Kind : char { counts = 'c', sum = 's', held = 'h', now = 'n', room = 'r' };
 
 struct Counted {
     uint32_t server;  // a few bits of a hash of its id
@@ -28,6 +28,18 @@
 std::string pack_counts(Kind, uint32_t round, size_t tellers, double total, std::vector<Counted>);
 std::string pack_held(const std::vector<Held>&);
 
+// What a balancer holds now, to the one that it has chosen to add it up: `count` goes up by one with each,
+// modulo message_counts. A server that it met slow or failing has `met_bad` for its load.
+constexpr uint32_t message_counts = 64, list_marks = 1 << 12;
+constexpr double met_bad = -1;
+std::string pack_now(uint32_t count, std::vector<Counted>);
+
+// For each server of a list, in the order of their names, how much of what comes next it should get, in parts
+// of what its weight alone would give it: 0 to most_room. `mark` tells which list.
+constexpr int most_room = 3;
+constexpr size_t most_rooms = 741;  // that fit one message
+std::string pack_room(uint32_t count, uint32_t mark, const std::vector<int>& rooms);
+
 // False for whatever this version does not pack: another version or kind, cut off, too long, odd digits.
 struct Reader {
     Kind kind = Kind::counts;
@@ -36,7 +48,12 @@
     double total = 0;
     std::vector<Counted> counted;
     std::vector<Held> held;
+    uint32_t count = 0, mark = 0;
+    std::vector<int> rooms;  // up to two more than were packed
     bool read(std::string_view bytes);
+
+   private:
+    bool read_pool(std::string_view bytes);
 };
 
 }  // namespace headrouter::peers
--- a/src/peers/tally.cpp
+++ b/src/peers/tally.cpp
@@ -46,6 +46,21 @@
     return all.emplace_back(Holder{server, {}, {}, false});
 }
 
+std::vector<std::pair<uint32_t, int>> Holders::earned(const std::vector<std::pair<uint32_t, int>>& waiting,
+                                                      double& credit, double cost) {
+    std::vector<std::pair<uint32_t, int>> rows;
+    for (const auto& [group, server] : waiting) {
+        Holder& h = at(group, server);
+        if (!std::exchange(h.to_tell, false)) continue;
+        const bool fits = credit >= cost && rows.size() < most_held;
+        if (!fits) h.told = Instant{};
+        if (!fits) continue;
+        credit -= cost;
+        rows.emplace_back(group, server);
+    }
+    return rows;
+}
+
 const std::vector<Holders::Holder>& Holders::of(uint32_t group) const {
     static const std::vector<Holder> none;
     const auto it = groups_.find(group);
--- a/src/peers/tally.h
+++ b/src/peers/tally.h
@@ -44,6 +44,10 @@
     Holder& at(uint32_t group, int server);
     const std::vector<Holder>& of(uint32_t group) const;
     void forget(int server);
+    // Of the pairs that wait to be told, as many as the credit pays for; those left out are told when another
+    // member is placed.
+    std::vector<std::pair<uint32_t, int>> earned(const std::vector<std::pair<uint32_t, int>>& waiting,
+                                                 double& credit, double cost);
 
    private:
     friend struct headrouter::StateAccess;  // of captures
--- /dev/null
+++ b/src/spread/pool.h
@@ -0,0 +1,91 @@
+// How hundreds of balancers fill one fleet evenly, each seeing a handful of connections: each tells what it
+// holds, when that changes, to one of them; that one tells all who told it how much of what comes next each
+// server should get. Nothing is sent, timed or placed here. docs/spread.md tells why in this way.
+//
+// Who adds up: the first of an order drawn from the wall clock that answers. Whoever hears nothing for a
+// while turns to the next, so that any part of the fleet that hears one another pools among itself. Instants
+// are the module's own; `wall` is the clock that all share, and no harm comes of one that is wrong: it pools
+// with others then.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/bucket_ring.h"
+#include "base/time.h"
+#include "peers/peer_bytes.h"
+
+namespace headrouter {
+struct StateAccess;
+namespace spread {
+
+class Pool {
+   public:
+    struct Row {  // a server and the own load there, in usual connections; negative (met_bad): it was met
+                  // slow or failing
+        int server;
+        double load;
+    };
+    struct Listed {  // a server that the own list has, and may be sent to
+        int server;
+        uint32_t name;  // peers::ShortNames
+        double weight;
+    };
+    struct Told {
+        int to;
+        std::string bytes;
+    };
+    static constexpr Span beat_time = millis(250);
+
+    // `own` is this balancer's number among so many; fewer than two: there is nobody to pool with.
+    void number(int own, int balancers);
+    // Called every beat_time: what is to be told now.
+    std::vector<Told> beat(Instant now, Instant wall, const std::vector<Row>& own,
+                           const std::vector<Listed>&);
+    // What another one told. Only what this balancer waits for counts: rooms of the one that it tells, for
+    // the list that it has.
+    void hear(Instant now, int from, const peers::Reader&);
+    // Which server the next connection should go to, by what all together hold; negative: the own share
+    // decides. `chance` lies between 0 and 1.
+    int choose(Instant now, double chance);
+    double trust(Instant now) const;  // in the rooms told: 1 while fresh, then less, 0 when old
+
+   private:
+    friend struct headrouter::StateAccess;
+    struct Teller {
+        Instant heard;
+        uint32_t count = 0;
+        std::vector<peers::Counted> rows;
+    };
+    bool slept(Instant now) const;
+    void tell(Instant now, const std::vector<Row>&, std::vector<Told>&);
+    void add_up(Instant now, std::vector<Told>&);
+    void take(Instant now, const std::vector<int>& rooms);
+    int candidate() const;
+    uint32_t mark_of_list() const;
+
+    int own_ = 0, balancers_ = 1;
+    std::vector<Listed> list_;  // by name
+    // Telling.
+    int64_t epoch_ = -1;
+    int tried_ = 0,
+        tries_ = 3;  // which candidate of this epoch, and up to which it goes before it begins again
+    uint32_t told_count_ = 0;
+    Instant beat_at_, told_at_, turned_at_, lost_at_;
+    std::vector<peers::Counted> last_told_;
+    // Adding up for others.
+    std::vector<Teller> tellers_;  // by number
+    BucketRing<8> came_{seconds(1)};
+    Instant summed_at_, sums_since_;
+    uint32_t room_count_ = 0;
+    // Rooms told.
+    std::vector<int> rooms_;  // in the order of list_
+    uint32_t heard_count_ = 0;
+    int heard_from_ = -1;
+    Instant heard_at_;
+    int placed_ = 0;  // since then
+};
+
+}  // namespace spread
+}  // namespace headrouter
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -66,7 +66,7 @@
         return all;
     }
     double pooled(const ServerId& id) { return server(id).pooled; }
-    double pool_total() { return b.pool_total_; }
+    double pool_total() { return b.rounds_.total; }
     double pool_trust(Instant t) { return b.pool_trust(t); }
     bool room_for_group(Instant t, const ServerId& id) {
         const Call c = a_call_of_a_group(t);
--- a/tests/operator/test_operator.cpp
+++ b/tests/operator/test_operator.cpp
@@ -17,7 +17,7 @@
     for (const auto& [text, said] :
          {std::pair{"[log]\nformat = \"xml\"", "o.toml:2: log.format: expected one of text, json"},
           {"[log]\nlevel = 3", "o.toml:2: log.level: expected a text"},
-          {"[logs]\n", "o.toml:1: logs: no such key; expected one of capture, log"}})
+          {"[logs]\n", "o.toml:1: logs: no such key; expected one of capture, log, spread"}})
         try {
             read_operator(text, "o.toml");
             assert(false);
--- a/tests/peers/test_pool.cpp
+++ b/tests/peers/test_pool.cpp
@@ -172,7 +172,7 @@
         assert(rough.peek(k).pooled("s0") < clean.peek(k).pooled("s0") * 1.5);
     }
     Brain& b = clean.brain(0);
-    for (const std::string& odd : {"", "1", "1c", "1z000", "1h00", "1h", "1c00000AA0000a", "1s0000000000"})
+    for (const std::string odd : {"", "1", "1c", "1z000", "1h00", "1h", "1c00000AA0000a", "1s0000000000"})
         assert(!b.peer_told(clean.now, 1, odd));
     assert(!b.peer_told(clean.now, 1, std::string(1000, '1')));
     assert(!b.peer_told(clean.now, 1, std::string("\0\xff{", 3)));
--- /dev/null
+++ b/tests/spread/test_spread_order.cpp
@@ -0,0 +1,93 @@
+// The order by the own number: what it makes of the sum over many balancers that share nothing.
+#include "spread/order.h"
+
+#include <cmath>
+
+#include "helpers.h"
+
+using namespace headrouter::spread;
+
+static std::vector<Part> parts(int n, double heavy = 1) {
+    std::vector<Part> all;
+    for (int k = 0; k < n; ++k)
+        all.push_back({hash_of("server" + std::to_string(k)), k % 4 == 0 ? heavy : 1, true});
+    return all;
+}
+
+// Each balancer places so many connections where its draws let it; the servers' loads over their weights.
+static std::vector<double> placed(int balancers, const std::vector<Part>& servers, int (*of)(int), bool by_number,
+                                  int number_of = 0) {
+    std::vector<double> load(servers.size());
+    double weights = 0;
+    for (const Part& s : servers) weights += s.active ? s.weight : 0;
+    for (int b = 0; b < balancers; ++b) {
+        if (of(b) == 0) continue;
+        const auto number = static_cast<uint64_t>(b);
+        const auto draws = by_number ? own_draws(number, number_of ? number_of : balancers, servers)
+                                     : alone_draws(number, servers);
+        std::vector<double> own(servers.size());
+        for (int n = 1; n <= of(b); ++n) {
+            size_t best = 0;
+            double least = 1e300;
+            for (size_t k = 0; k < servers.size(); ++k) {
+                const double over = (own[k] + draws[k]) / servers[k].weight;
+                if (servers[k].active && over < least) least = over, best = k;
+            }
+            own[best] += 1, load[best] += 1 / servers[best].weight;
+        }
+    }
+    return load;
+}
+
+static double cv(const std::vector<double>& v) {
+    double sum = 0, squares = 0;
+    for (const double x : v) sum += x, squares += x * x;
+    const double mean = sum / static_cast<double>(v.size());
+    return std::sqrt(std::max(0.0, squares / static_cast<double>(v.size()) - mean * mean)) / mean;
+}
+
+static int four(int) { return 4; }
+static int uneven(int b) { return b % 8 == 0 ? 16 : b % 3; }
+
+static Case the_sum_is_far_more_even_than_of_independent_draws([] {
+    const double alone = cv(placed(200, parts(30), four, false)), own = cv(placed(200, parts(30), four, true));
+    assert(alone > 0.12 && own < 0.4 * alone);
+});
+
+static Case weights_differ_by_eight_and_some_balancers_get_most([] {
+    assert(cv(placed(200, parts(30, 8), four, true)) < 0.6 * cv(placed(200, parts(30, 8), four, false)));
+    assert(cv(placed(200, parts(30), uneven, true)) < 0.8 * cv(placed(200, parts(30), uneven, false)));
+});
+
+static Case numbers_have_holes_where_balancers_are_dead([] {
+    const auto alive = [](int b) { return b * 7 % 10 < 6 ? 4 : 0; };
+    assert(cv(placed(200, parts(30), alive, true)) < 0.8 * cv(placed(200, parts(30), alive, false)));
+});
+
+static Case what_is_gone_has_no_part_and_the_rest_share_it([] {
+    std::vector<Part> servers = parts(12);
+    servers[3].active = servers[7].active = false;
+    const auto load = placed(120, servers, four, true);
+    assert(load[3] == 0 && load[7] == 0);
+    for (size_t k = 0; k < load.size(); ++k) assert(!servers[k].active || (load[k] > 38 && load[k] < 58));
+});
+
+static Case odd_weights_and_numbers_are_bounded([] {
+    assert(own_draws(0, 1, {}).empty());
+    std::vector<Part> servers = parts(3);
+    servers[1].weight = 1e-3;
+    for (const double d : own_draws(9, 3, servers)) assert(d > 0 && std::isfinite(d));
+    servers[0].active = servers[1].active = servers[2].active = false;
+    assert(own_draws(1, 3, servers).size() == 3);
+});
+
+static Case a_name_s_draw_goes_on_where_servers_join([] {
+    std::vector<double> at;
+    std::vector<int> order;
+    draw_on(5, parts(6), at, order);
+    const auto before = at;
+    draw_on(5, parts(9), at, order);
+    assert(at.size() == 9 && order.size() == 9 && std::equal(before.begin(), before.end(), at.begin()));
+    for (size_t k = 1; k < order.size(); ++k)
+        assert(at[static_cast<size_t>(order[k - 1])] <= at[static_cast<size_t>(order[k])]);
+});
--- /dev/null
+++ b/tests/spread/test_spread_pool.cpp
@@ -0,0 +1,250 @@
+// Pooled room over many balancers, message by message, without a socket: what each learns, and how little one that
+// lies, sleeps or is cut off can do.
+#include "spread/pool.h"
+
+#include <cmath>
+#include <functional>
+
+#include "helpers.h"
+
+using headrouter::spread::Pool;
+
+struct Fleet {
+    static constexpr int servers = 10;
+    std::vector<Pool> pools;
+    std::vector<std::vector<double>> held;  // by balancer and server
+    std::vector<Pool::Listed> list;
+    Instant now = Instant{} + seconds(1000);
+    Span wall{};
+    // What becomes of a message; empty bytes: it is lost.
+    std::function<std::string(int from, int to, std::string)> link = [](int, int, std::string b) { return b; };
+    std::function<bool(int)> asleep = [](int) { return false; };
+    uint64_t told = 0;
+
+    explicit Fleet(int balancers) : pools(static_cast<size_t>(balancers)), held(pools.size()) {
+        for (size_t b = 0; b < pools.size(); ++b) {
+            pools[b].number(static_cast<int>(b), balancers);
+            held[b].assign(servers, 0);
+        }
+        for (int k = 0; k < servers; ++k) list.push_back({k, static_cast<uint32_t>(100 + 7 * k), 1});
+    }
+    void pass(int from, const std::vector<Pool::Told>& all) {
+        for (const Pool::Told& t : all) {
+            ++told;
+            const std::string bytes = link(from, t.to, t.bytes);
+            peers::Reader read;
+            if (!asleep(t.to) && !bytes.empty() && read.read(bytes))
+                pools[static_cast<size_t>(t.to)].hear(now, from, read);
+        }
+    }
+    void beat() {
+        now = now + Pool::beat_time;
+        for (size_t b = 0; b < pools.size(); ++b) {
+            if (asleep(static_cast<int>(b))) continue;
+            std::vector<Pool::Row> own;
+            for (int k = 0; k < servers; ++k)
+                if (held[b][static_cast<size_t>(k)] != 0) own.push_back({k, held[b][static_cast<size_t>(k)]});
+            pass(static_cast<int>(b), pools[b].beat(now, now + wall, own, list));
+        }
+    }
+    void run(double s) {
+        for (const Instant until = now + seconds(s); now < until;) beat();
+    }
+    // Where a balancer's next ones would go; the last place counts those that its own share decides.
+    std::vector<int> choices(int b, int n) {
+        std::vector<int> at(servers + 1);
+        for (int k = 0; k < n; ++k) {
+            const int c = pools[static_cast<size_t>(b)].choose(now, 0.5);
+            ++at[static_cast<size_t>(c < 0 ? servers : c)];
+        }
+        return at;
+    }
+    // Connections come and go by themselves, placed where the pool says, else at random by `chance`.
+    void live(double s, Pcg32& chance, double come_a_beat) {
+        for (const Instant until = now + seconds(s); now < until;) {
+            beat();
+            for (auto& row : held)
+                for (double& x : row)
+                    for (int n = static_cast<int>(x); n > 0; --n) x -= chance.uniform() < 0.25 / 30;
+            for (double n = come_a_beat; n > chance.uniform(); --n) {
+                const auto b = static_cast<size_t>(chance.uniform() * static_cast<double>(pools.size()));
+                const int k = pools[b].choose(now, chance.uniform());
+                held[b][k < 0 ? static_cast<size_t>(chance.uniform() * servers) : static_cast<size_t>(k)] += 1;
+            }
+        }
+    }
+    double cv() const {
+        double sum = 0, squares = 0;
+        for (int k = 0; k < servers; ++k) {
+            double load = 0;
+            for (const auto& row : held) load += row[static_cast<size_t>(k)];
+            sum += load, squares += load * load;
+        }
+        return std::sqrt(squares / servers - sum * sum / servers / servers) / (sum / servers);
+    }
+};
+
+// 40 balancers hold four each: server 0 has none, server 1 twice its part.
+static Fleet uneven() {
+    Fleet f(40);
+    for (size_t b = 0; b < 40; ++b)
+        for (size_t n = 0; n < 4; ++n) {
+            const size_t k = (b * 4 + n) % Fleet::servers;
+            f.held[b][k == 0 ? 1 : k] += 1;
+        }
+    return f;
+}
+
+static Case all_turn_to_the_server_that_lacks_most_and_none_to_the_full_one([] {
+    Fleet f = uneven();
+    f.run(4);
+    int to_empty = 0, to_full = 0;
+    for (int b = 0; b < 40; ++b) {
+        assert(f.pools[static_cast<size_t>(b)].trust(f.now) == 1);
+        const auto at = f.choices(b, 10);
+        to_empty += at[0], to_full += at[1];
+    }
+    assert(to_full == 0 && to_empty >= 100 && to_empty <= 140);  // three times its part of 400, and no herd
+});
+
+static Case a_fleet_that_lives_is_evener_than_dice_and_stays_so_when_two_in_five_are_lost([] {
+    Pcg32 chance(3), other(3), third(3);
+    Fleet sound(60), lossy(60), mute(60);
+    lossy.link = [&](int, int, std::string b) { return other.uniform() < 0.4 ? std::string() : b; };
+    mute.link = [](int, int, std::string) { return std::string(); };
+    double cvs[3] = {0, 0, 0};
+    Pcg32 lives[3] = {Pcg32(5), Pcg32(5), Pcg32(5)};
+    Fleet* fleets[3] = {&sound, &lossy, &mute};
+    for (int k = 0; k < 3; ++k) {
+        fleets[k]->live(60, lives[k], 2);
+        for (int n = 0; n < 60; ++n) fleets[k]->live(1, lives[k], 2), cvs[k] += fleets[k]->cv() / 60;
+    }
+    const double dice = 0.19;  // 24 connections a server
+    assert(cvs[0] < 0.42 * dice && cvs[1] < 0.7 * dice && cvs[2] > 0.75 * dice);
+});
+
+static Case whoever_hears_nothing_turns_to_the_next_and_each_half_of_a_split_pools_alone([] {
+    Fleet f = uneven();
+    f.run(3);
+    f.link = [](int from, int to, std::string b) { return from / 20 == to / 20 ? b : std::string(); };
+    f.run(20);
+    int fresh = 0;
+    for (const Pool& p : f.pools) fresh += p.trust(f.now) > 0;
+    assert(fresh == 40);
+});
+
+static Case one_alone_and_messages_gone_fade_to_the_own_share([] {
+    Fleet f = uneven();
+    f.run(4);
+    f.link = [](int, int, std::string) { return std::string(); };
+    f.run(26);  // the one that added up forgets last
+    for (int b = 0; b < 40; ++b) assert(f.pools[static_cast<size_t>(b)].trust(f.now) == 0 && f.choices(b, 5)[10] == 5);
+    f.link = [](int, int, std::string b) { return b; };  // back at one instant
+    f.run(12);
+    assert(f.pools[7].trust(f.now) > 0);
+    Fleet two(2);
+    two.run(20);
+    assert(two.pools[0].trust(two.now) == 0 || two.choices(0, 10)[10] >= 0);
+});
+
+// Whoever lies of its own counts moves nobody much; whoever adds up and lies moves no more than three parts.
+static Case one_that_lies_is_bounded([] {
+    for (const double lie : {1000.0, 0.0}) {
+        Fleet honest = uneven(), f = uneven();
+        for (int k = 0; k < Fleet::servers; ++k) f.held[13][static_cast<size_t>(k)] = lie;
+        honest.run(6), f.run(6);
+        for (int b = 0; b < 40; b += 9) {
+            const auto a = honest.choices(b, 100), c = f.choices(b, 100);
+            for (int k = 0; k < Fleet::servers; ++k) assert(std::abs(a[static_cast<size_t>(k)] - c[static_cast<size_t>(k)]) <= 20);
+        }
+    }
+    Fleet f = uneven();
+    f.link = [](int, int, std::string b) {
+        if (b[1] != 'r') return b;
+        peers::Reader told;
+        assert(told.read(b));
+        std::vector<int> rooms(Fleet::servers);
+        rooms[5] = peers::most_room;
+        return peers::pack_room(told.count, told.mark, rooms);
+    };
+    f.run(6);
+    for (int b = 0; b < 40; ++b) {
+        const auto at = f.choices(b, 100);
+        assert(at[5] <= 100 * peers::most_room / Fleet::servers + 1 || at[Fleet::servers] == 0);
+    }
+});
+
+static Case one_that_slept_doubts_itself_first([] {
+    Fleet f = uneven();
+    f.run(6);
+    bool sleeps = true;
+    f.asleep = [&](int b) { return sleeps && b % 4 == 0; };
+    f.run(20);
+    sleeps = false;
+    for (int b = 0; b < 40; b += 4) {
+        assert(f.pools[static_cast<size_t>(b)].trust(f.now) == 0);
+        peers::Reader old;  // what waited for it in its socket
+        assert(old.read(peers::pack_room(1, 0, std::vector<int>(10, 3))));
+        for (int from = 0; from < 40; ++from) f.pools[static_cast<size_t>(b)].hear(f.now, from, old);
+        assert(f.choices(b, 3)[10] == 3);
+    }
+    f.run(8);
+    int fresh = 0;
+    for (const Pool& p : f.pools) fresh += p.trust(f.now) > 0;
+    assert(fresh == 40);
+});
+
+static Case doubled_late_and_foreign_messages_change_nothing([] {
+    Fleet f = uneven();
+    f.link = [&](int from, int to, std::string b) {
+        peers::Reader twice;
+        if (twice.read(b)) f.pools[static_cast<size_t>(to)].hear(f.now, from, twice);
+        return b;
+    };
+    f.run(6);
+    const auto before = f.choices(3, 100);
+    assert(before[0] >= 25);
+    // Rooms of one that is not asked, or for another list.
+    peers::Reader read;
+    assert(read.read(peers::pack_room(50, 77, std::vector<int>(10, 3))));
+    for (int from = 0; from < 40; ++from) f.pools[3].hear(f.now, from, read);
+    f.pools[3].hear(f.now, -1, read), f.pools[3].hear(f.now, 40, read);
+    const auto after = f.choices(3, 100);
+    assert(after[1] == 0 && after[0] >= 25);
+});
+
+static Case a_server_that_two_met_bad_gets_nothing_and_one_alone_says_little([] {
+    Fleet f = uneven();
+    f.held[3][4] = peers::met_bad;
+    f.run(6);
+    assert(f.choices(8, 200)[4] > 0);
+    f.held[9][4] = peers::met_bad;
+    f.run(6);
+    for (int b = 0; b < 40; ++b) assert(f.choices(b, 20)[4] == 0);
+    for (int k = 1; k < 9; ++k) f.held[3][static_cast<size_t>(k)] = f.held[9][static_cast<size_t>(k)] = peers::met_bad;
+    f.run(6);  // said of nearly all: no ground to shun any
+    int placed = 0;
+    for (int b = 0; b < 40; ++b) placed += 20 - f.choices(b, 20)[10];
+    assert(placed > 400);
+});
+
+static Case two_with_one_number_and_a_wrong_clock_do_no_harm([] {
+    Fleet f = uneven();
+    f.pools[21].number(20, 40);
+    f.run(8);
+    assert(f.choices(5, 100)[1] == 0);
+    Fleet off = uneven();
+    off.wall = seconds(10);
+    off.run(8);
+    assert(off.choices(5, 100)[1] == 0);
+});
+
+static Case what_is_told_a_second_is_bounded_however_many_there_are([] {
+    for (const int n : {10, 100, 300}) {
+        Fleet f(n);
+        f.run(10);
+        f.told = 0;
+        f.run(32);
+        assert(static_cast<double>(f.told) / n / 32 < 1.6);
+    }
+});
