Pooled room holds through restarts: stamps go on, crowds that come back go by the own share

Two causes: a restarted balancer's counts began at 1 again and were passed over as old for up to 16 s, so those of its dead process went on being added up (Pool::hear); and some 400 clients that came back within a second were all placed by rooms that are as large as what comes in 1.75 s.

Change: messages carry the wall clock in quarters of a second; clients that come again go by the own share; rooms count for twice what usually comes to a balancer between two of them; what comes is averaged over four seconds, not eight.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -167,7 +167,7 @@
 // the sum over all balancers right and each to the servers that rank highest for it.
 void Brain::place_alone(const Room& room, Call& call) {
     const int n = static_cast<int>(servers_.size());
-    for (int tries = 0; told_.pools && room.back_from < 0 && tries < pool_tries; ++tries) {
+    for (int tries = 0; told_.pools && !call.again && room.back_from < 0 && tries < pool_tries; ++tries) {
         const int k = pool_.choose(room.now, chance_.uniform());
         if (k < 0) break;
         const double ready = share_of(room.fleet, k) / std::max(room.fleet.each * servers_[k].weight, 1e-9);
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -139,16 +139,18 @@
 template <class A>
 void StateAccess::visit_state(A& a, spread::Pool& p) {
     using capture::visit;
-    visit(a, p.own_), visit(a, p.balancers_), visit(a, p.epoch_), visit(a, p.tried_), visit(a, p.tries_), visit(a, p.told_count_);
-    visit(a, p.beat_at_), visit(a, p.told_at_), visit(a, p.turned_at_),
-        visit(a, p.lost_at_), visit(a, p.last_told_);
+    visit(a, p.own_), visit(a, p.balancers_), visit(a, p.epoch_), visit(a, p.tried_), visit(a, p.tries_),
+        visit(a, p.stamp_);
+    visit(a, p.beat_at_), visit(a, p.told_at_), visit(a, p.turned_at_), visit(a, p.lost_at_),
+        visit(a, p.last_told_);
     visit_all(a, p.list_,
               [&](spread::Pool::Listed& l) { visit(a, l.server), visit(a, l.name), visit(a, l.weight); });
     visit_all(a, p.tellers_,
-              [&](spread::Pool::Teller& t) { visit(a, t.heard), visit(a, t.count), visit(a, t.rows); });
+              [&](spread::Pool::Teller& t) { visit(a, t.heard), visit(a, t.stamp), visit(a, t.rows); });
     visit_state(a, p.came_);
-    visit(a, p.summed_at_), visit(a, p.sums_since_), visit(a, p.room_count_), visit(a, p.rooms_);
-    visit(a, p.heard_count_), visit(a, p.heard_from_), visit(a, p.heard_at_), visit(a, p.placed_);
+    visit(a, p.summed_at_), visit(a, p.sums_since_), visit(a, p.rooms_);
+    visit(a, p.heard_stamp_), visit(a, p.heard_from_), visit(a, p.heard_at_), visit(a, p.placed_),
+        visit(a, p.usual_placed_);
 }
 
 // Every field of the class, in its order: one that is left out shows in the test that plays on from a state.
--- a/src/fleet/fault.cpp
+++ b/src/fleet/fault.cpp
@@ -9,7 +9,7 @@
 
 namespace headrouter::fleet {
 
-static constexpr std::array<std::pair<const char*, FaultKind>, 26> fault_names{{
+static constexpr std::array<std::pair<const char*, FaultKind>, 27> fault_names{{
     {"drop", FaultKind::drop},
     {"delay", FaultKind::delay},
     {"repeat", FaultKind::repeat},
@@ -17,6 +17,7 @@
     {"spoil", FaultKind::spoil},
     {"split", FaultKind::split},
     {"alone", FaultKind::alone},
+    {"lie", FaultKind::lie},
     {"list_silent", FaultKind::list_silent},
     {"list_garbled", FaultKind::list_garbled},
     {"list_late", FaultKind::list_late},
@@ -48,7 +49,7 @@
     return {fault_names.begin(), fault_names.end()};
 }
 
-bool is_of_datagrams(FaultKind kind) { return kind <= FaultKind::alone; }
+bool is_of_datagrams(FaultKind kind) { return kind <= FaultKind::lie; }
 
 bool is_on_model(FaultKind kind) {
     return is_of_datagrams(kind) || kind == FaultKind::stall || kind == FaultKind::kill;
--- a/src/fleet/fault.h
+++ b/src/fleet/fault.h
@@ -19,6 +19,7 @@
     spoil,
     split,  // the struck and the others do not hear each other
     alone,  // a struck one and all but a few do not hear each other
+    lie,    // what the struck say of loads is not so
     // The list as the struck balancers have it.
     list_silent,
     list_garbled,
@@ -51,7 +52,7 @@
     Span lasts;
     double part = 0.25, servers = 0.25;  // of the balancers, of the servers
     std::vector<int> numbers;            // of balancers; in place of a part
-    double size = 1;  // drop, repeat, reorder, spoil: share of datagrams; alone: how many are still heard;
+    double size = 1;  // lie: 0 all servers are empty, 1 all are full, 2 one is empty; drop, repeat, reorder, spoil: share of datagrams; alone: how many are still heard;
                       // clock: seconds ahead, negative for behind
     Span span,
         spread;  // delay and how much more by chance; list_old, path_slow, client_slow, repeat, reorder
--- a/src/fleet/links.cpp
+++ b/src/fleet/links.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "peers/peer_bytes.h"
+
 namespace headrouter::fleet {
 
 namespace {
@@ -9,6 +11,32 @@
 constexpr int most_spoilt = 3;
 }  // namespace
 
+namespace {
+
+// The same message with other loads: of the servers that it names, or, of rooms, of all.
+std::string lied(const std::string& bytes, int how) {
+    enum { empty, full, one_empty };
+    constexpr double full_load = 500;
+    peers::Reader told;
+    if (!told.read(bytes)) return bytes;
+    for (size_t k = 0; k < told.counted.size(); ++k)
+        told.counted[k].load = how == empty || (how == one_empty && k == 0) ? 0.25 : full_load;
+    for (size_t k = 0; k < told.rooms.size(); ++k)
+        told.rooms[k] =
+            how == empty || (how == one_empty && k == told.rooms.size() / 2) ? peers::most_room : 0;
+    const double total = how == empty ? 1 : full_load * static_cast<double>(told.counted.size());
+    switch (told.kind) {
+        case peers::Kind::counts:
+        case peers::Kind::sum:
+            return peers::pack_counts(told.kind, told.round, told.tellers, total, told.counted);
+        case peers::Kind::now: return peers::pack_now(told.stamp, told.counted);
+        case peers::Kind::room: return peers::pack_room(told.stamp, told.mark, told.rooms);
+        default: return bytes;
+    }
+}
+
+}  // namespace
+
 Links::Links(const std::vector<Strike>& strikes, int balancers, uint64_t seed)
     : balancers_(balancers), chance_(seed, 67) {
     for (const Strike& s : strikes) {
@@ -66,6 +94,10 @@
                 for (Passed& p : passed)
                     if (chance_.uniform() < f.size) p.later = p.later + lag;
                 break;
+            case FaultKind::lie:
+                if (says)
+                    for (Passed& p : passed) p.bytes = lied(p.bytes, static_cast<int>(f.size));
+                break;
             case FaultKind::spoil:
                 for (Passed& p : passed)
                     if (chance_.uniform() < f.size) spoil(p.bytes);
--- a/src/peers/peer_bytes.cpp
+++ b/src/peers/peer_bytes.cpp
@@ -12,7 +12,7 @@
 constexpr size_t counted_size = server_digits + 1, held_size = group_digits + server_digits;
 constexpr size_t counts_head = 2 + round_digits + teller_digits + total_digits, held_head = 2;
 static_assert(counts_head + most_counted * counted_size <= longest_message);
-constexpr size_t now_head = 3, room_head = 5, rooms_a_digit = 3;
+constexpr size_t now_head = 4, room_head = 5, rooms_a_digit = 3;
 static_assert(now_head + most_counted * counted_size <= longest_message);
 static_assert(room_head + most_rooms / rooms_a_digit <= longest_message);
 constexpr uint32_t bad_steps = 63;
@@ -56,10 +56,10 @@
     return static_cast<uint32_t>(std::clamp(std::round(steps), 0.0, bad_steps - 1.0));
 }
 
-std::string pack_now(uint32_t count, std::vector<Counted> rows) {
+std::string pack_now(uint32_t stamp, std::vector<Counted> rows) {
     std::stable_sort(rows.begin(), rows.end(), [](const auto& a, const auto& b) { return a.load > b.load; });
     std::string bytes{version, static_cast<char>(Kind::now)};
-    put(bytes, count % message_counts, 1);
+    put(bytes, stamp % stamps, 2);
     for (size_t k = 0; k < std::min(rows.size(), most_counted); ++k) {
         put(bytes, rows[k].server % server_names, server_digits);
         put(bytes, rows[k].load < 0 ? bad_steps : steps_of(rows[k].load), 1);
@@ -67,10 +67,10 @@
     return bytes;
 }
 
-std::string pack_room(uint32_t count, uint32_t mark, const std::vector<int>& rooms) {
+std::string pack_room(uint32_t stamp, uint32_t mark, const std::vector<int>& rooms) {
     std::string bytes{version, static_cast<char>(Kind::room)};
-    put(bytes, count % message_counts, 1);
-    put(bytes, mark % list_marks, 2);
+    put(bytes, stamp % stamps, 2);
+    put(bytes, mark % list_marks, 1);
     for (size_t k = 0; k < std::min(rooms.size(), most_rooms); k += rooms_a_digit) {
         uint64_t digit = 0;
         for (size_t j = 0; j < rooms_a_digit; ++j)
@@ -91,7 +91,7 @@
 }
 
 bool Reader::read_pool(std::string_view bytes) {
-    if (!take(bytes, 1, count)) return false;
+    if (!take(bytes, 2, stamp)) return false;
     if (kind == Kind::now) {
         if (bytes.size() % counted_size != 0) return false;
         for (uint32_t server = 0, steps = 0; !bytes.empty();) {
@@ -101,7 +101,7 @@
         }
         return true;
     }
-    if (!take(bytes, 2, mark)) return false;
+    if (!take(bytes, 1, mark)) return false;
     for (uint32_t digit = 0; !bytes.empty();) {
         if (!take(bytes, 1, digit)) return false;
         for (const int shift : {4, 2, 0}) rooms.push_back(static_cast<int>(digit >> shift & 3));
--- a/src/peers/peer_bytes.h
+++ b/src/peers/peer_bytes.h
@@ -28,17 +28,18 @@
 std::string pack_counts(Kind, uint32_t round, size_t tellers, double total, std::vector<Counted>);
 std::string pack_held(const std::vector<Held>&);
 
-// What a balancer holds now, to the one that it has chosen to add it up: `count` goes up by one with each,
-// modulo message_counts. A server that it met slow or failing has `met_bad` for its load.
-constexpr uint32_t message_counts = 64, list_marks = 1 << 12;
+// What a balancer holds now, to the one that it has chosen to add it up: `stamp` is the wall clock in
+// quarters of a second, modulo `stamps`, so that it goes on over restarts. A server that it met slow or
+// failing has `met_bad` for its load.
+constexpr uint32_t stamps = 1 << 12, list_marks = 1 << 6;
 constexpr double met_bad = -1;
-std::string pack_now(uint32_t count, std::vector<Counted>);
+std::string pack_now(uint32_t stamp, std::vector<Counted>);
 
 // For each server of a list, in the order of their names, how much of what comes next it should get, in parts
 // of what its weight alone would give it: 0 to most_room. `mark` tells which list.
 constexpr int most_room = 3;
 constexpr size_t most_rooms = 741;  // that fit one message
-std::string pack_room(uint32_t count, uint32_t mark, const std::vector<int>& rooms);
+std::string pack_room(uint32_t stamp, uint32_t mark, const std::vector<int>& rooms);
 
 // False for whatever this version does not pack: another version or kind, cut off, too long, odd digits.
 struct Reader {
@@ -48,7 +49,7 @@
     double total = 0;
     std::vector<Counted> counted;
     std::vector<Held> held;
-    uint32_t count = 0, mark = 0;
+    uint32_t stamp = 0, mark = 0;
     std::vector<int> rooms;  // up to two more than were packed
     bool read(std::string_view bytes);
 
--- a/src/spread/pool.cpp
+++ b/src/spread/pool.cpp
@@ -25,6 +25,8 @@
 constexpr double rounds_trusted = 2, rounds_faded = 4;
 constexpr Span answer_within = seconds(3.2), answer_again_within = seconds(7.5);
 constexpr int first_tries = 3;
+constexpr double usual_follows = 0.2;
+constexpr uint32_t late_stamps = 10;  // between two rooms: one in between was lost
 // One candidate for so long, so that none serves, or lies, for ever.
 constexpr Span epoch_time = seconds(32);
 // A beat that is so late, and this process stood still: what it knows of the others is of then.
@@ -48,10 +50,10 @@
 }
 
 // A message that comes late, doubled or out of order is passed over; one after a long gap is news whatever
-// its count.
-bool is_news(uint32_t count, uint32_t last, Instant now, Instant last_at) {
-    const uint32_t ahead = (count - last) % peers::message_counts;
-    return now - last_at > forget_after || (ahead > 0 && ahead < peers::message_counts / 2);
+// its stamp.
+bool is_news(uint32_t stamp, uint32_t last, Instant now, Instant last_at) {
+    const uint32_t ahead = (stamp - last) % peers::stamps;
+    return now - last_at > forget_after || (ahead > 0 && ahead < peers::stamps / 2);
 }
 
 }  // namespace
@@ -91,6 +93,7 @@
         turned_at_ = now;
     }
     beat_at_ = now;
+    stamp_ = static_cast<uint32_t>(wall.ns / beat_time.ns % peers::stamps);
     const uint32_t before = mark_of_list();
     list_ = list;
     std::sort(list_.begin(), list_.end(), [](const Listed& a, const Listed& b) { return a.name < b.name; });
@@ -131,7 +134,7 @@
     last_told_ = rows;
     told_at_ = now;
     const int to = candidate();
-    const std::string bytes = peers::pack_now(++told_count_, std::move(rows));
+    const std::string bytes = peers::pack_now(stamp_, std::move(rows));
     if (to != own_) return out.push_back({to, bytes});
     peers::Reader told;
     if (told.read(bytes)) hear(now, own_, told);
@@ -141,15 +144,15 @@
     if (from < 0 || from >= balancers_ || slept(now)) return;
     if (told.kind == peers::Kind::room) {
         if (from != candidate() || told.mark != mark_of_list() || told.rooms.size() < list_.size()) return;
-        if (from == heard_from_ && !is_news(told.count, heard_count_, now, heard_at_)) return;
-        const uint32_t ahead = (told.count - heard_count_) % peers::message_counts;
-        if (from == heard_from_ && ahead > 1 && now - heard_at_ < forget_after) lost_at_ = now;
-        heard_from_ = from, heard_count_ = told.count;
+        if (from == heard_from_ && !is_news(told.stamp, heard_stamp_, now, heard_at_)) return;
+        const uint32_t ahead = (told.stamp - heard_stamp_) % peers::stamps;
+        if (from == heard_from_ && ahead > late_stamps && now - heard_at_ < forget_after) lost_at_ = now;
+        heard_from_ = from, heard_stamp_ = told.stamp;
         return take(now, told.rooms);
     }
     tellers_.resize(static_cast<size_t>(balancers_));
     Teller& t = tellers_[static_cast<size_t>(from)];
-    if (t.heard.ns > 0 && !is_news(told.count, t.count, now, t.heard)) return;
+    if (t.heard.ns > 0 && !is_news(told.stamp, t.stamp, now, t.heard)) return;
     // What came since the last time; of one not heard before nothing is known to be new.
     if (t.heard.ns > 0 && now - t.heard < forget_after)
         for (const Counted& c : told.counted) {
@@ -158,13 +161,14 @@
             const double had = it == t.rows.end() ? 0 : std::max(0.0, it->load);
             if (c.load > had) came_.add(now, std::min(c.load - had, 4.0));
         }
-    t.heard = now, t.count = told.count, t.rows = told.counted;
+    t.heard = now, t.stamp = told.stamp, t.rows = told.counted;
 }
 
 void Pool::take(Instant now, const std::vector<int>& rooms) {
     rooms_ = rooms;
     rooms_.resize(list_.size());
     heard_at_ = now;
+    usual_placed_ += (placed_ - usual_placed_) * usual_follows;
     placed_ = 0;
 }
 
@@ -203,7 +207,7 @@
         bad += s.bad >= bad_tellers;
     }
     const bool heeds = bad <= bad_fleet * static_cast<double>(list_.size());
-    const double known_for = std::clamp(in_seconds(now - sums_since_), 1.0, 8.0);
+    const double known_for = std::clamp(in_seconds(now - sums_since_), 1.0, 4.0);
     const double coming = came_.sum(now) / known_for * in_seconds(round_time);
     std::vector<int> rooms;
     double owed = 0;  // of rounding, so that the parts add up
@@ -218,13 +222,13 @@
         rooms.push_back(room);
     }
     summed_at_ = now;
-    const std::string bytes = peers::pack_room(++room_count_, mark_of_list(), rooms);
+    const std::string bytes = peers::pack_room(stamp_, mark_of_list(), rooms);
     for (int k = 0; k < static_cast<int>(tellers_.size()); ++k) {
         const Teller& t = tellers_[static_cast<size_t>(k)];
         if (k != own_ && t.heard.ns > 0 && now - t.heard <= forget_after) out.push_back({k, bytes});
     }
     if (candidate() != own_) return;
-    heard_from_ = own_, heard_count_ = room_count_;
+    heard_from_ = own_, heard_stamp_ = stamp_;
     take(now, rooms);
 }
 
@@ -235,12 +239,12 @@
 }
 
 int Pool::choose(Instant now, double chance) {
-    if (chance >= trust(now)) return -1;
+    if (chance >= trust(now) || placed_ > 1 + 2 * usual_placed_) return -1;
     double weights = 0, all = 0;
     for (size_t k = 0; k < list_.size(); ++k) weights += list_[k].weight, all += list_[k].weight * rooms_[k];
     // What the rooms leave is the own share's to place: one who lies that only one server has room moves to
     // it no more than most_room times its part.
-    double at = fraction((own_ + 0.5) / balancers_ + heard_count_ * step_round + placed_++ * step_placed) *
+    double at = fraction((own_ + 0.5) / balancers_ + heard_stamp_ * step_round + placed_++ * step_placed) *
                 std::max(weights, all);
     for (size_t k = 0; k < list_.size(); ++k)
         if ((at -= list_[k].weight * rooms_[k]) < 0) return list_[k].server;
--- a/src/spread/pool.h
+++ b/src/spread/pool.h
@@ -47,7 +47,8 @@
     // the list that it has.
     void hear(Instant now, int from, const peers::Reader&);
     // Which server the next connection should go to, by what all together hold; negative: the own share
-    // decides. `chance` lies between 0 and 1.
+    // decides, as it does beyond twice what usually comes here: rooms are as large as what usually comes, and
+    // a crowd at many balancers at once would fill each hole many times over. `chance` lies between 0 and 1.
     int choose(Instant now, double chance);
     double trust(Instant now) const;  // in the rooms told: 1 while fresh, then less, 0 when old
 
@@ -55,7 +56,7 @@
     friend struct headrouter::StateAccess;
     struct Teller {
         Instant heard;
-        uint32_t count = 0;
+        uint32_t stamp = 0;
         std::vector<peers::Counted> rows;
     };
     bool slept(Instant now) const;
@@ -70,21 +71,21 @@
     // Telling.
     int64_t epoch_ = -1;
     int tried_ = 0,
-        tries_ = 3;  // which candidate of this epoch, and up to which it goes before it begins again
-    uint32_t told_count_ = 0;
+        tries_ = 3;       // which candidate of this epoch, and up to which it goes before it begins again
+    uint32_t stamp_ = 0;  // of this beat
     Instant beat_at_, told_at_, turned_at_, lost_at_;
     std::vector<peers::Counted> last_told_;
     // Adding up for others.
     std::vector<Teller> tellers_;  // by number
-    BucketRing<8> came_{seconds(1)};
+    BucketRing<4> came_{seconds(1)};
     Instant summed_at_, sums_since_;
-    uint32_t room_count_ = 0;
     // Rooms told.
     std::vector<int> rooms_;  // in the order of list_
-    uint32_t heard_count_ = 0;
+    uint32_t heard_stamp_ = 0;
     int heard_from_ = -1;
     Instant heard_at_;
-    int placed_ = 0;  // since then
+    int placed_ = 0;           // since then
+    double usual_placed_ = 0;  // between two rooms told
 };
 
 }  // namespace spread
--- a/tests/fleet/test_links.cpp
+++ b/tests/fleet/test_links.cpp
@@ -2,6 +2,7 @@
 #include "fleet/links.h"
 #include "fleet/world.h"
 #include "helpers.h"
+#include "peers/peer_bytes.h"
 
 using namespace headrouter::fleet;
 
@@ -83,3 +84,17 @@
     assert(a[1].balancers == b[1].balancers && a[1].balancers != c[1].balancers);
     assert(timeline_of(a).find("3.000 s to    5.000 s  split") != std::string::npos);
 });
+
+static Case one_that_lies_says_other_loads_in_the_same_words([] {
+    const std::string now = peers::pack_now(5, {{100, 1}, {200, 2}});
+    const std::string room = peers::pack_room(6, 55, {1, 1, 1, 1});
+    for (const double how : {0.0, 1.0, 2.0}) {
+        Links l({struck(FaultKind::lie, {1}, how)}, 3, 1);
+        peers::Reader a, b;
+        assert(a.read(l.carry(within, 1, 0, now)[0].bytes) && a.counted.size() == 2 && a.stamp == 5);
+        assert((a.counted[0].load > 100) == (how != 0));
+        assert(b.read(l.carry(within, 1, 2, room)[0].bytes) && b.mark == 55);
+        assert(std::count(b.rooms.begin(), b.rooms.end(), 3) == (how == 0 ? 6 : how == 1 ? 0 : 1));
+        assert(l.carry(within, 0, 1, now)[0].bytes == now);
+    }
+});
