--- a/src/lab/crowd.cpp
+++ b/src/lab/crowd.cpp
@@ -10,6 +10,7 @@
 #include <cinttypes>
 #include <csignal>
 #include <cstdio>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -35,7 +36,7 @@
 constexpr Span handover_patience = seconds(6), step = millis(2), settling = millis(300);
 constexpr Span begin_ahead = millis(100), reap_every = millis(50);
 constexpr Span late_by = millis(100), too_late = millis(500);
-constexpr int starts_at_once = 16, log_tail = 4;
+constexpr int starts_at_once = 16, starts_a_turn = 4, log_tail = 4;
 
 // The configuration with some of its settings changed: "ceilings.maxLegs" to a piece of JSON.
 std::string with_settings(const std::string& config,
@@ -135,6 +136,10 @@
             due_.erase(due_.begin());
             what();
         }
+        for (int k = 0; k < starts_a_turn && !starts_.empty() && !over_; ++k) {
+            if (!seat(starts_.front()).life) start(starts_.front());
+            starts_.pop_front();
+        }
         if (now - reaped_ < reap_every) return;
         reaped_ = now;
         for (int b = 0; b < w_.balancers; ++b) look_after(b);
@@ -278,7 +283,7 @@
             return true;
         });
         if (!s.dying.empty()) return at(rig_.now() + step, [this, b] { come_back(b); });
-        if (!s.life && !over_) start(b);
+        if (!s.life) starts_.push_back(b);  // each takes its milliseconds; the script goes on meanwhile
     }
 
     void leave(int b, Instant back) {
@@ -375,6 +380,7 @@
     standin::CrowdRig& rig_;
     std::string folder_, operator_file_;
     std::vector<Seat> seats_;
+    std::deque<int> starts_;  // balancers
     std::multimap<Instant, std::function<void()>> due_;
     bool has_clocks_ = false, over_ = false;
     Instant reaped_;
