Format; the page's line of messages spans its table

The page of a run with ten kinds of fault was looked at in a browser: lines, shaded faults and table are as meant; its last line was squeezed into one column.

--- a/src/fleet/fault.h
+++ b/src/fleet/fault.h
@@ -52,10 +52,10 @@
     Span lasts;
     double part = 0.25, servers = 0.25;  // of the balancers, of the servers
     std::vector<int> numbers;            // of balancers; in place of a part
-    double size = 1;  // lie: 0 all servers are empty, 1 all are full, 2 one is empty; drop, repeat, reorder, spoil: share of datagrams; alone: how many are still heard;
-                      // clock: seconds ahead, negative for behind
-    Span span,
-        spread;  // delay and how much more by chance; list_old, path_slow, client_slow, repeat, reorder
+    // drop, repeat, reorder, spoil: share of datagrams; alone: how many are still heard; lie: 0 all servers
+    // are empty, 1 all are full, 2 one is empty; clock: seconds ahead, negative for behind.
+    double size = 1;
+    Span span, spread;  // a delay, and how much more by chance
     Way way = Way::both;
     std::string program;                                    // of the second process; empty: the same
     std::vector<std::pair<std::string, std::string>> sets;  // reload: path in the settings, JSON
--- a/src/fleet/world.h
+++ b/src/fleet/world.h
@@ -84,10 +84,10 @@
     double fall_multiple = 3;
     Traffic traffic;
     std::vector<Trouble> troubles;
-    bool messages = false;          // balancers tell one another
+    bool messages = false;                   // balancers tell one another
     bool by_number = false, pooled = false;  // the operator's [spread]
-    bool tells_size = false;        // each is told how many they are; always so with messages
-    Span peer_latency = millis(2);  // of a datagram between two of them
+    bool tells_size = false;                 // each is told how many they are; always so with messages
+    Span peer_latency = millis(2);           // of a datagram between two of them
     std::vector<Fault> faults;
     double skew = 1;   // the busiest balancer gets so many times the traffic of the least busy
     double quiet = 0;  // the part of the balancers that clients never come to
--- a/src/lab/measure_crowd.cpp
+++ b/src/lab/measure_crowd.cpp
@@ -207,9 +207,10 @@
                 Piece p;
                 p.name = name + v.name;
                 const bool restart = name == "restart half";
-                p.world = read_world(world_text(balancers, 30, 4, from + lasts + 12, from - 4, true, false, v.on) +
-                                     "[[fault]]\nat = \"" + std::to_string(from) + "s\"\nlasts = \"" +
-                                     std::to_string(restart ? 1 : lasts) + "s\"\n" + words + "\n");
+                p.world =
+                    read_world(world_text(balancers, 30, 4, from + lasts + 12, from - 4, true, false, v.on) +
+                               "[[fault]]\nat = \"" + std::to_string(from) + "s\"\nlasts = \"" +
+                               std::to_string(restart ? 1 : lasts) + "s\"\n" + words + "\n");
                 p.seed = static_cast<uint64_t>(seed);
                 p.other = v.other;
                 pieces.push_back(std::move(p));
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -219,7 +219,7 @@
                 row(s.name + ", " + fixed(in_seconds(s.from - Instant{}), 0) + " to " +
                         fixed(in_seconds(s.until - Instant{}), 0) + " s",
                     s.spread, s.service);
-            o << "<tr><td>messages " << fixed(r->datagrams, 2) << " datagrams, "
+            o << "<tr><td colspan='12'>messages " << fixed(r->datagrams, 2) << " datagrams, "
               << fixed(r->datagram_bytes, 1) << " bytes; CPU " << fixed(r->cpu * 1000, 2)
               << " ms a second and balancer; ended by themselves: " << r->ended_by_themselves;
         }
--- a/src/loads/type_loads.h
+++ b/src/loads/type_loads.h
@@ -1,5 +1,5 @@
-// What connections of each traffic type were seen to need, in microseconds of work a second, and with it what a
-// usual connection is. Plain sums; nothing is decided.
+// What connections of each traffic type were seen to need, in microseconds of work a second, and with it what
+// a usual connection is. Plain sums; nothing is decided.
 #pragma once
 #include <cstddef>
 #include <vector>
