The bounds of even load stand as first set; two seeds of a fault against their scatter

Cause: eased bounds that a single run of four seconds scatters up to (0.61, 0.69 of 0.75), where the scatter was to be mended. Change: the bounds and 'nobody is moved' are back; lost datagrams and split with stalls are played from two seeds each, side by side, and their mean is judged. crowd-measures keep their rows by one function.

--- a/src/lab/measure_crowd.cpp
+++ b/src/lab/measure_crowd.cpp
@@ -81,6 +81,13 @@
     }
 };
 
+// In the order in which they were first asked for.
+using Rows = std::vector<std::pair<std::string, Row>>;
+Row& row_of(Rows& rows, const std::string& name) {
+    const auto it = std::find_if(rows.begin(), rows.end(), [&](const auto& r) { return r.first == name; });
+    return it == rows.end() ? rows.emplace_back(name, Row{}).second : it->second;
+}
+
 double mean(const std::vector<double>& v) { return mean_of(v).value; }
 
 void print_head(const char* what) {
@@ -172,14 +179,10 @@
                     }
     const std::vector<Outcome> all = play_all(pieces, m);
     Judged judged;
-    std::vector<std::pair<std::string, Row>> rows;
+    Rows rows;
     for (size_t k = 0; k < all.size(); ++k) {
         judged.add(all[k]);
-        const std::string name = pieces[k].name;
-        const auto it =
-            std::find_if(rows.begin(), rows.end(), [&](const auto& r) { return r.first == name; });
-        Row& row = it == rows.end() ? rows.emplace_back(name, Row{}).second : it->second;
-        row.add(all[k], all[k].spread, all[k].service());
+        row_of(rows, pieces[k].name).add(all[k], all[k].spread, all[k].service());
     }
     print_head("processes x servers x connections");
     std::string json;
@@ -217,15 +220,11 @@
             }
     const std::vector<Outcome> all = play_all(pieces, m);
     Judged judged;
-    std::vector<std::pair<std::string, Row>> rows;
+    Rows rows;
     for (size_t k = 0; k < all.size(); ++k) {
         judged.add(all[k]);
         for (const Outcome::Stretch& s : all[k].stretches) {
-            const std::string name = pieces[k].name + ", " + s.name;
-            const auto it =
-                std::find_if(rows.begin(), rows.end(), [&](const auto& r) { return r.first == name; });
-            Row& row = it == rows.end() ? rows.emplace_back(name, Row{}).second : it->second;
-            row.add(all[k], s.spread, s.service);
+            row_of(rows, pieces[k].name + ", " + s.name).add(all[k], s.spread, s.service);
         }
     }
     print_head(m.quick ? "100x30x4, messages" : "200x30x4, messages");
--- a/tests/lab/crowds.h
+++ b/tests/lab/crowds.h
@@ -37,13 +37,14 @@
 
 inline fleet::Outcome play_crowd(const fleet::World& w, const std::string& program = "headrouter",
                                  const std::string& logs = {},
-                                 std::function<void(Instant, int, int, std::string_view)> seen = {}) {
+                                 std::function<void(Instant, int, int, std::string_view)> seen = {},
+                                 uint64_t seed = 1) {
     CrowdPlay play;
     play.program = built(program);
     play.clock = built("libheadrouter_clock.so");
     play.log_folder = logs;
     play.datagrams = std::move(seen);
-    fleet::Outcome o = run_crowd(w, program, 1, play);
+    fleet::Outcome o = run_crowd(w, program, seed, play);
     for (const std::string& e : o.examples) std::cerr << e << "\n";
     if (!o.not_judged.empty()) std::cerr << o.not_judged << "\n";
     return o;
--- a/tests/lab/test_crowd_spread.cpp
+++ b/tests/lab/test_crowd_spread.cpp
@@ -27,16 +27,23 @@
     return 100;
 }
 
+static double over_dice(const Outcome& one, const Outcome& two, const std::string& stretch) {
+    return (over_dice(one, stretch) + over_dice(two, stretch)) / 2;
+}
+
 // Side by side, each from a thread that outlives its processes.
 static Case crowds_that_pool_stay_even_through_faults_between_them([] {
-    const auto plays = [](const World& w) {
-        return std::async(std::launch::async, [w] { return play_crowd(w); });
+    const auto plays = [](const World& w, uint64_t seed = 1) {
+        return std::async(std::launch::async,
+                          [w, seed] { return play_crowd(w, "headrouter", {}, {}, seed); });
     };
     auto calm = plays(spread_world(""));
-    auto lossy = plays(spread_world(fault("drop", 12, 9, "part = 1\nsize = 0.4") +
-                                    fault("repeat", 12, 9, "part = 0.5\nsize = 0.5")));
-    auto torn =
-        plays(spread_world(fault("split", 11, 10, "part = 0.5") + fault("stall", 12, 8, "part = 0.2")));
+    // Four seconds of one run scatter by 0.2 of dice; two seeds of each say more.
+    const World losing = spread_world(fault("drop", 12, 9, "part = 1\nsize = 0.4") +
+                                      fault("repeat", 12, 9, "part = 0.5\nsize = 0.5"));
+    const World tearing =
+        spread_world(fault("split", 11, 10, "part = 0.5") + fault("stall", 12, 8, "part = 0.2"));
+    auto lossy = plays(losing), lossy2 = plays(losing, 2), torn = plays(tearing), torn2 = plays(tearing, 2);
     // One lies, also when it adds up; a fifth restarts under clocks ten seconds wrong.
     auto lied_to = plays(spread_world(fault("lie", 0, 34, "numbers = [7]\nsize = 2") +
                                       fault("clock", 9, 25, "part = 0.2\nsize = 10") +
@@ -45,16 +52,16 @@
     auto half_blind = plays(spread_world(fault("list_hidden", 0, 34, "part = 0.5\nservers = 0.1") +
                                          fault("drop", 11, 9, "part = 1\nsize = 1")));
     auto idle = plays(spread_world("", 0.6));
-    const Outcome a = calm.get(), b = lossy.get(), c = torn.get(), d = lied_to.get(), e = half_blind.get(),
-                  f = idle.get();
-    for (const Outcome* o : {&a, &b, &c, &d, &e, &f}) assert(clean(*o) && o->moved * 50 <= o->calls);
-    std::cerr << a.spread.over_dice() << " lossy " << over_dice(b, "during") << " " << over_dice(b, "after")
-              << " torn " << over_dice(c, "during") << " " << over_dice(c, "after") << " lied to "
-              << d.spread.over_dice() << " most " << d.spread.most << " half blind " << e.spread.over_dice()
-              << " idle " << f.spread.over_dice() << "\n";
+    const Outcome a = calm.get(), b = lossy.get(), b2 = lossy2.get(), c = torn.get(), c2 = torn2.get(),
+                  d = lied_to.get(), e = half_blind.get(), f = idle.get();
+    for (const Outcome* o : {&a, &b, &b2, &c, &c2, &d, &e, &f}) assert(clean(*o) && o->moved == 0);
+    std::cerr << a.spread.over_dice() << " lossy " << over_dice(b, b2, "during") << " "
+              << over_dice(b, "after") << " torn " << over_dice(c, c2, "during") << " "
+              << over_dice(c, "after") << " lied to " << d.spread.over_dice() << " most " << d.spread.most
+              << " half blind " << e.spread.over_dice() << " idle " << f.spread.over_dice() << "\n";
     assert(a.spread.over_dice() < 0.65 && f.spread.over_dice() < 0.8);
-    assert(over_dice(b, "during") < 0.85 && over_dice(b, "after") < 0.85);
-    assert(over_dice(c, "during") < 0.95 && over_dice(c, "after") < 0.85);
+    assert(over_dice(b, b2, "during") < 0.85 && over_dice(b, b2, "after") < 0.75);
+    assert(over_dice(c, c2, "during") < 0.95 && over_dice(c, c2, "after") < 0.75);
     assert(d.spread.over_dice() < 1);
     assert(e.spread.idle == 0);
 });
