Permitted messages without addresses, or with a bare list of them, no longer end a start

Log: 'field peers is not an object'. A probe in read_peers showed what the platform's configuration holds: a list of HOST:PORT, one for each balancer, the own one at slotNo; ours reads an object only. Ruled out: limits, classes, tenants (the same file starts with peers = false). At fault: read_peers in src/net/boot.cpp, which took its own form for the platform's, and which ended a start where messages are permitted but nobody is named, though a permission asks for nothing.

Change: both forms are read and checked alike; without any addresses the balancer serves alone and says so at start and in check. A reload that loses the addresses while messages are being sent is still refused by key.

--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -122,6 +122,9 @@
             log_.warning() << "serving without a word to other balancers until " << boot_.peers_own
                            << " is free: " << fault;
     }
+    if (boot_.speaks_alone)
+        log_.warning() << "serving without a word to other balancers: 'ceilings.peers' permits messages, but "
+                          "field 'peers' names nobody";
     if (!meeting.empty() && !testator_.open(meeting, fault))
         log_.warning() << "nothing can be handed over to the next process: " << meeting << ": " << fault;
     started_ = true;
@@ -218,6 +221,8 @@
 void Balancer::reload(Boot now) {
     if (passed_on_) throw Malformed("another process has taken over");
     const Address discovery = discovery_of(now);
+    if (!boot_.peers.empty() && now.speaks_alone)
+        throw Malformed("field 'peers' is missing, though messages are permitted and were sent until now");
     if (!now.peers.empty() && now.told.deployment.slot != boot_.told.deployment.slot)
         throw Malformed("field 'slotNo' stays until the next start where balancers speak to one another");
     if (std::string fault; !speak_to_peers(now, fault))
--- a/src/net/boot.cpp
+++ b/src/net/boot.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <utility>
 
 #include "net/socket.h"
 
@@ -22,31 +23,35 @@
     return seed;
 }
 
-// One shape or the other: messages are permitted and everyone's address is known, or neither.
+// Who names the other balancers must be permitted to speak to them, and name all. A permission alone asks for
+// nothing: a platform that gives it to every balancer need not have told this one where the others are.
 static void read_peers(const Json& doc, Boot& boot) {
-    const Deployment& told = boot.told.deployment;
+    Deployment& told = boot.told.deployment;
     if (!find(doc, "peers")) {
-        if (!told.tells_peers) return;
-        throw Malformed(
-            "field 'peers' is missing, though 'ceilings.peers' permits messages between balancers");
+        boot.speaks_alone = std::exchange(told.tells_peers, false);
+        return;
     }
     if (!told.tells_peers)
         throw Malformed(
             "field 'peers' names balancers, but the settings do not permit messages: 'ceilings.peers' is not "
             "true, or 'groupSize' is 1");
-    const Json& peers = object(doc, "peers");
-    boot.peers_own = text(peers, "own");
-    for (const Json& a : array(peers, "all").GetArray()) {
+    // A bare list, as the platform words it, has the own address at the own number.
+    const bool bare = find(doc, "peers")->IsArray();
+    const Json& all = bare ? *find(doc, "peers") : array(object(doc, "peers"), "all");
+    const std::string key = bare ? "peers" : "peers.all";
+    if (!bare) boot.peers_own = text(object(doc, "peers"), "own");
+    for (const Json& a : all.GetArray()) {
         if (!a.IsString() || !Address::from(a.GetString()))
-            wrong("peers.all", "a list of HOST:PORT in numbers");
+            wrong(key.c_str(), "a list of HOST:PORT in numbers");
         const std::string address = a.GetString();
         if (std::find(boot.peers.begin(), boot.peers.end(), address) != boot.peers.end())
-            throw Malformed("field 'peers.all' names " + address + " twice");
+            throw Malformed("field '" + key + "' names " + address + " twice");
         boot.peers.push_back(address);
     }
     if (static_cast<int>(boot.peers.size()) != told.balancers)
-        throw Malformed("field 'peers.all' has " + std::to_string(boot.peers.size()) +
+        throw Malformed("field '" + key + "' has " + std::to_string(boot.peers.size()) +
                         " addresses, but 'groupSize' is " + std::to_string(told.balancers));
+    if (bare) boot.peers_own = boot.peers[told.slot];
     if (boot.peers[told.slot] != boot.peers_own)
         throw Malformed("field 'peers.own' is '" + boot.peers_own + "', but the address of 'slotNo' " +
                         std::to_string(told.slot) + " in 'peers.all' is '" + boot.peers[told.slot] + "'");
--- a/src/net/boot.h
+++ b/src/net/boot.h
@@ -13,6 +13,7 @@
     std::string name, listen, discovery;
     std::string peers_own;           // this balancer's address among them; empty: it speaks to none
     std::vector<std::string> peers;  // of all balancers, by their numbers
+    bool speaks_alone = false;       // messages are permitted, but nobody's address is told
     std::string ops;                 // where operators call; empty: nowhere
     std::string folder;              // common to this process and the next one; empty: nothing is handed over
     uint64_t seed = 0;
--- a/src/net/command_line.cpp
+++ b/src/net/command_line.cpp
@@ -151,6 +151,8 @@
     if (!boot.peers.empty())
         std::cout << "tells " << boot.peers.size() - 1 << " other balancers its counts, from "
                   << boot.peers_own << ", as number " << boot.told.deployment.slot << "\n";
+    if (boot.speaks_alone)
+        std::cout << "tells no other balancer its counts: permitted, but field 'peers' names nobody\n";
     if (file.capture)
         std::cout << "captures in " << file.capture->keeping.folder
                   << (file.capture->on ? "" : ", off until SIGUSR2") << "\n";
