A request whose client has left is not sent on after the process stood still

Reviewed: a client that waits is read all the time, so its end is dealt with in the turn it is seen; but in one turn the news that a server's connection is up may stand before the client's end, and after a second in which the process did not run that end may be a second old. Shown by tests that bring this order about each time (the end comes first, epoll reports in order, libev deals from the last): the line was written in 4 of 4 ways of leaving (FIN, RST, more bytes and either), on one leg and from the listener's queue. Ruled out: between two legs and while the module lets a call wait nothing is sent once the end is read. At fault: Exchange::may_send, which looked at the list only.

Change: right before the first byte the client's socket is read too (one recv a leg). A client that only ended its sending gets its line before the end: BUSY where asking again is harmless, ERR otherwise; before it got none. What may have run is now known by leg (written, and not turned away), so the end of a process answers BUSY to once-only calls that cannot have run (ERR before). The test of that last answer wanted ERR for a leg never written; it now tells three cases apart.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -183,13 +183,14 @@
 
 void ClientSide::conn_ended(LineConn& conn, How how) {
     const CallId id = conn.id();
-    const bool greeting = conns_.at(id).stage == Stage::greeting;
-    if (how == How::finished)
-        conn.finish();
-    else
-        conn.abort();
-    let_go(id);
-    if (!greeting) events_->client_ended(id, how);
+    // Who only ended its sending may still read: the word that it gets goes out before the end does.
+    if (conns_.at(id).stage == Stage::waiting && how == How::finished) events_->client_ended(id, how);
+    const auto it = conns_.find(id);
+    if (it == conns_.end()) return;
+    const Stage stage = it->second.stage;
+    end(id, how);
+    if (stage == Stage::served || (stage == Stage::waiting && how == How::broke))
+        events_->client_ended(id, how);
 }
 
 void ClientSide::output_went(LineConn& conn) {
@@ -241,6 +242,11 @@
     return it == conns_.end() ? 0 : it->second.conn->unsent();
 }
 
+void ClientSide::look(CallId id) {
+    const auto it = conns_.find(id);
+    if (it != conns_.end()) it->second.conn->look();
+}
+
 // A connection that does not say what it wants, or stops in the middle of it, holds a descriptor for nothing.
 void ClientSide::look_for_silent(Instant now) {
     std::vector<CallId> silent;
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -32,6 +32,7 @@
     void end(CallId, How) override;
     void hold_back(CallId, bool) override;
     size_t unsent(CallId) const override;
+    void look(CallId) override;
     void look_for_silent(Instant now);
     size_t size() const { return conns_.size(); }
 
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -16,7 +16,7 @@
 constexpr double early_until = 0.5, late_from = 0.66, others_part = 0.4;
 constexpr Span longest_half_line = seconds(0.5);
 constexpr double shortage_part = 0.2;  // of the longest advice: calls end all the time and leave room
-constexpr std::string_view failed = "ERR\r\n", moved = "MOVE\r\n";
+constexpr std::string_view failed = "ERR\r\n", busy_word = "BUSY\r\n", moved = "MOVE\r\n";
 
 std::string busy(Span stay_away) {
     if (stay_away.ns <= 0) return "BUSY\r\n";
@@ -144,13 +144,21 @@
     const auto it = flows_.find(id);
     if (it == flows_.end()) return counters_.add(Count::late_events);
     const bool known = it->second.up || !it->second.inherited;
+    const bool waited = !it->second.up;
+    const std::string_view last = harmless_again(it->second) ? std::string_view(busy_word) : failed;
     forget(id);
     counters_.add(Count::calls_left_by_client);
     servers_.end(id, how);
+    if (waited && how == How::finished) clients_.answer(id, last);  // it may have ended its sending only
     if (known) brain_.call_gone(clock_.now(), id);
     act();
 }
 
+// Whether to ask again cannot make it run twice against its traffic type.
+bool Exchange::harmless_again(const Flow& flow) const {
+    return told_.deployment.types[flow.opening.call.type].effect == Effect::repeatable || !flow.may_have_run;
+}
+
 // A client waits for its answer. One that does not is no client of ours, and its lines are for no server.
 void Exchange::client_hasty(CallId id) {
     const Flow* flow = find(id);
@@ -165,13 +173,19 @@
 
 // ---- from the servers ----
 
+// What the loop has not read yet counts as well: after a second in which this process did not run, the end of
+// a client may stand behind the news that its server's connection is up.
 bool Exchange::may_send(CallId id) {
+    clients_.look(id);
     const Flow* flow = find(id);
     return flow && (flow->inherited || roster_.wants_new(flow->server));
 }
 
 void Exchange::leg_written(CallId id) {
-    if (!find(id)) return counters_.add(Count::late_events);
+    Flow* flow = find(id);
+    if (!flow) return counters_.add(Count::late_events);
+    flow->ran_before = flow->may_have_run;
+    flow->may_have_run = true;
     tally_.forwarded();
 }
 
@@ -221,6 +235,8 @@
     if (!flow) return counters_.add(Count::late_events);
     const Instant now = clock_.now();
     flow->out = false;
+    // Turned away, never run; and this leg's byte may have been the first that could have.
+    if (end.ending == Ending::full) flow->may_have_run = flow->ran_before;
     if (flow->inherited && !flow->up) {
         log_.debug() << "call " << id << " standing at " << flow->server << ": ending "
                      << static_cast<int>(end.ending) << " " << without_end(end.answer);
@@ -354,8 +370,7 @@
     for (const CallId id : waiting) {
         servers_.end(id, How::finished);
         const Flow& flow = *find(id);
-        const bool repeatable = told_.deployment.types[flow.opening.call.type].effect == Effect::repeatable;
-        const bool harmless = repeatable || flow.leg < 0;  // what may have run must not be asked for again
+        const bool harmless = harmless_again(flow);  // what may have run must not be asked for again
         if (!flow.inherited) brain_.call_gone(now, id);
         do_answer(id, harmless ? Count::calls_rejected : Count::calls_released, harmless ? busy({}) : failed);
     }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -70,7 +70,8 @@
         Instant try_again;  // inherited: when its server is called again
         int leg = -1;
         bool out = false, up = false, inherited = false, mid_line = false, move_due = false;
-        Instant move_at;  // when it has to make way for the end of this process
+        bool may_have_run = false, ran_before = false;  // any leg; any but the last one that was written
+        Instant move_at;                                // when it has to make way for the end of this process
     };
     struct Due {
         enum class What { send, reject, release, move } what;
@@ -91,6 +92,7 @@
     void do_send(const Due&);
     void do_answer(CallId, Count, std::string_view line);
     void setup_ended(const Flow&, ops::Setup);
+    bool harmless_again(const Flow&) const;
     void do_move(CallId);
     void call_standing_server(CallId, Flow&);
     void leave(Instant now);
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -140,6 +140,7 @@
         capture::visit(a, f.try_again), capture::visit(a, f.leg), capture::visit(a, f.out);
         capture::visit(a, f.up), capture::visit(a, f.inherited), capture::visit(a, f.mid_line);
         capture::visit(a, f.move_due), capture::visit(a, f.move_at);
+        capture::visit(a, f.may_have_run), capture::visit(a, f.ran_before);
     }
 
     template <class A>
--- a/src/net/line_conn.cpp
+++ b/src/net/line_conn.cpp
@@ -58,6 +58,13 @@
     watch();
 }
 
+void LineConn::look() {
+    if (closed() || connecting_ || paused_ || finishing_ || read_to_end_) return;
+    read_some();
+    count_buffered();
+    if (!closed()) watch();
+}
+
 void LineConn::finish() {
     if (closed() || finishing_) return;
     finishing_ = true;
--- a/src/net/line_conn.h
+++ b/src/net/line_conn.h
@@ -42,6 +42,7 @@
     size_t unsent() const { return out_.size() - sent_; }
     size_t buffered() const { return in_.size() + unsent(); }
     void pause_reading(bool);  // what comes in waits with the kernel
+    void look();               // reads what has come now, before the loop gets to it
     void finish();             // end sending after the last byte, then read to the end: closing earlier could
                                // wipe out what was just sent
     void abort();
--- a/src/net/ports.h
+++ b/src/net/ports.h
@@ -19,6 +19,8 @@
     virtual void end(CallId, How) = 0;
     virtual void hold_back(CallId, bool) = 0;
     virtual size_t unsent(CallId) const = 0;
+    // What has come from it by now is read at once, its end too, and told before this returns.
+    virtual void look(CallId) = 0;
 };
 
 class ServerPort {
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -91,12 +91,16 @@
 }
 
 void ServerSide::conn_came_up(LineConn& conn) {
-    Leg& leg = *find(conn.id());
-    // The list may have changed while the connection came up; a send counts from its first byte.
-    if (!events_->may_send(conn.id())) return over(conn.id(), {Ending::not_sent, How::finished, false, {}});
-    leg.stage = Stage::writing;
-    set_timer(leg, leg.give_up - Clock::now());
-    conn.send(leg.first_line);  // tells output_went; the leg may be over by then
+    const CallId id = conn.id();
+    // The list may have changed while the connection came up, or the client gone; a send counts from its
+    // first byte.
+    const bool wanted = events_->may_send(id);
+    Leg* leg = find(id);
+    if (!leg) return;  // its call has just ended
+    if (!wanted) return over(id, {Ending::not_sent, How::finished, false, {}});
+    leg->stage = Stage::writing;
+    set_timer(*leg, leg->give_up - Clock::now());
+    conn.send(leg->first_line);  // tells output_went; the leg may be over by then
 }
 
 void ServerSide::output_went(LineConn& conn) {
--- a/tests/net/test_endings.cpp
+++ b/tests/net/test_endings.cpp
@@ -1,8 +1,95 @@
 // Whatever ends, at the instant that hurts most: docs/endings.md names the rows.
+#include <functional>
+
 #include "helpers.h"
 #include "peers_by_hand.h"
 #include "world.h"
 
+// One turn of the loop and no more: what comes next is the test's to order. epoll tells of what has become
+// ready in its order and libev deals with it from the last to the first, so that here the connection to the
+// server is told of before the client that left earlier.
+static void one_turn(World& w) { ev_run(w.loop, EVRUN_NOWAIT); }
+
+static void opens_a_leg(World& w) {
+    for (int k = 0; k < 2000 && w.count(Count::legs_sent) == 0; ++k) one_turn(w), usleep(200);
+    assert(w.count(Count::legs_sent) == 1);
+}
+
+// Nothing of the call reaches the server, and the call is over.
+static void nothing_is_sent(World& w) {
+    assert(
+        w.until([&] { return w.count(Count::calls_left_by_client) + w.count(Count::calls_released) == 1; }));
+    w.turn(0.05);
+    for (Peer s; s = w.server.accept(), s.fd;) {
+        w.ends(s);
+        assert(s.got.empty());
+    }
+    assert(w.count(Count::calls_up) == 0 && w.count(Count::broken_invariants) == 0);
+}
+
+using Leaves = std::function<void(Peer&)>;
+static const Leaves ways[] = {[](Peer& c) { c.fin(); }, [](Peer& c) { c.rst(); },
+                              [](Peer& c) { c.write("more\r\n"), c.fin(); },
+                              [](Peer& c) { c.write("more\r\n"), c.rst(); }};
+
+// The process stands still while the connection to the server comes up and the client goes.
+static const Case a_client_that_left_is_not_sent_on_when_its_connection_comes_up{[] {
+    for (const Leaves& leave : ways) {
+        World w;
+        fcntl(w.server.fd.get(), F_SETFL, O_NONBLOCK);
+        Peer c = w.client();
+        opens_a_leg(w);
+        leave(c);
+        usleep(20'000);
+        nothing_is_sent(w);
+    }
+}};
+
+// All of it before the balancer takes the connection: the line is read, and the end behind it counts.
+static const Case a_client_that_left_in_the_listeners_queue_is_not_sent_on{[] {
+    for (const Leaves& leave : ways) {
+        World w;
+        fcntl(w.server.fd.get(), F_SETFL, O_NONBLOCK);
+        Peer c = w.client();
+        assert(w.count(Count::conns_taken_in) == 0);
+        usleep(20'000);
+        leave(c);
+        usleep(20'000);
+        for (int k = 0; k < 20; ++k) one_turn(w);
+        w.turn(0.05);
+        for (Peer s; s = w.server.accept(), s.fd;) assert(w.ends(s) && s.got.empty());
+        assert(w.count(Count::calls_up) == 0 && w.balancer->counters()[Count::broken_invariants] == 0);
+    }
+}};
+
+// Its server has just turned it away, and the client has gone: there is no second leg with a byte in it.
+static const Case a_client_that_left_between_two_legs_is_not_sent_on{[] {
+    for (const Leaves& leave : ways) {
+        World w;
+        fcntl(w.server.fd.get(), F_SETFL, O_NONBLOCK);
+        w.lists(R"({"generation":5,"reset":true,"instances":[{"instanceId":"s","hostPort":")" + w.server.at +
+                R"(","lifecycle":"SERVING"},{"instanceId":"t","hostPort":")" + w.server.at +
+                R"(","lifecycle":"SERVING"}]})");
+        assert(w.until([&] { return w.count(Count::lists_told) == 1; }));
+        Peer c = w.client(), s = w.taken();
+        s.write("BUSY\r\n");
+        for (int k = 0; k < 2000 && w.count(Count::legs_sent) < 2; ++k) one_turn(w), usleep(200);
+        assert(w.count(Count::legs_sent) == 2);
+        leave(c);
+        usleep(20'000);
+        nothing_is_sent(w);
+    }
+}};
+
+// Who ends its sending only still gets a line: BUSY where asking again is harmless.
+static const Case a_client_that_ends_its_sending_only_gets_its_answer{[] {
+    World w;
+    Peer c = w.client(), s = w.taken();
+    c.fin();
+    assert(w.ends(s) && w.says(c, "BUSY\r\n") && w.ends(c) && c.ended);
+    assert(w.count(Count::calls_left_by_client) == 1);
+}};
+
 // A watch that falls silent, and an agent that was down and is back, both with kernel-made connects that
 // hang: the news is there in time for half a second of grace after it counts.
 static const Case what_the_agent_has_is_known_within_half_a_second_of_its_return{[] {
--- a/tests/net/test_exchange.cpp
+++ b/tests/net/test_exchange.cpp
@@ -22,6 +22,8 @@
     void end(CallId id, How how) override { note(how == How::broke ? "break" : "end", id); }
     void hold_back(CallId id, bool on) override { note(on ? "hold" : "free", id); }
     size_t unsent(CallId) const override { return waiting; }
+    std::function<void(CallId)> at_look = [](CallId) {};
+    void look(CallId id) override { at_look(id); }
 };
 
 struct FakeServers : ServerPort {
@@ -123,11 +125,32 @@
     d.open(1, "c=pay,t=x,d=2000,g=q");
     d.exchange.leg_over(1, {Ending::reset, How::broke, false, {}});
     assert(d.servers.done.size() == 1 && d.clients.done == Said{"answer1ERR\r\n"});
-    d.open(2, "c=pay,t=x,d=2000,g=q");
+    // Told to end with three calls out: written and unheard of; not written yet; turned away and out again.
+    for (const CallId id : {2, 3, 4}) d.open(id, "c=pay,t=x,d=2000,g=q");
+    d.exchange.leg_written(2), d.exchange.leg_written(4);
+    d.exchange.leg_over(4, {Ending::full, How::finished, false, {}});
+    assert(d.servers.done.size() == 5);
     d.exchange.begin_leaving(seconds(2));
     d.now = d.now + seconds(2);
+    d.clients.done.clear();
     d.exchange.look_after();
-    assert(d.clients.done.back() == "answer2ERR\r\n");
+    assert((d.clients.done == Said{"answer2ERR\r\n", "answer3BUSY\r\n", "answer4BUSY\r\n"}));
+}};
+
+// Written before, then turned away elsewhere: the first leg may still have run.
+static const Case one_leg_that_may_have_run_is_enough{[] {
+    Desk d;
+    d.open(1, "c=chat,t=x,d=2000,g=q");
+    d.exchange.leg_written(1);
+    d.exchange.leg_over(1, {Ending::reset, How::broke, false, {}});
+    assert(d.servers.done.size() == 2);
+    d.exchange.leg_written(1);
+    d.exchange.leg_over(1, {Ending::full, How::finished, false, {}});
+    Told told = told_from(settings);
+    told.deployment.types[0].effect = Effect::once_only;
+    d.exchange.told_again(told);
+    d.exchange.client_ended(1, How::finished);
+    assert(d.clients.done == Said{"answer1ERR\r\n"});
 }};
 
 static const Case a_drain_told_while_connecting_stops_the_send{[] {
