Who stands in the queue or in the middle of a line at the end of a process is answered

Reviewed every path by which the program itself ends a connection; four were shown with real connections or processes, each by a test that fails without its mend (each mend taken out alone and the test played): - a process told to end that stood still past its 0.45 s reset 40 of 40 clients in its queue; now all get BUSY (Balancer::look_after broke the loop without a look at the queue); - a first line begun before the end and finished after it was reset: done counted calls, not connections that have begun a line; - an answer that stood with the kernel behind what a late reader had not taken was thrown away with SO_LINGER 0 when descriptors ran short or its two seconds were over; now what was written still arrives, unread bytes are read first (Farewell::shorten, ~Farewell, LineConn::drop). Ruled out: a reset after our FIN does not take what Linux has already received; - a prober whose call lay unread was cut in a crowd with no word (ClientSide::dismiss, cut_silent); now who has unread bytes is passed over, and a prober sent away is told BUSY.

--- a/src/net/balancer.cpp
+++ b/src/net/balancer.cpp
@@ -12,7 +12,7 @@
 constexpr int descriptors_kept = 32, per_call = 2;
 constexpr size_t buffered_part = 4;  // of the memory, for what waits to be sent
 // Nobody is left alone for longer than the longest guard time, or than this.
-constexpr Span longest_leave = seconds(3), last_words = millis(400);
+constexpr Span longest_leave = seconds(3), last_words = millis(400), last_turn = millis(200);
 
 // The smaller of what the operators grant and what the kernel will give.
 int descriptors_of(const Boot& boot) {
@@ -298,8 +298,16 @@
     if (std::string fault; !passed_on_ && !peers_.is_open()) speak_to_peers(boot_, fault);
     look_after_recorder();
     if (!leaving_) return;
-    const bool done = exchange_.all_gone() && client_farewell_.size() + server_farewell_.size() == 0;
-    if (now >= exit_at_ || (done && now >= arrivals_end_)) ev_break(loop_, EVBREAK_ALL);
+    if (now < arrivals_end_) return;
+    // Whoever has begun a line is waited for, nearly to the end: its last byte makes it a call that is owed
+    // an answer.
+    if (!passed_on_) clients_.see_off(now >= exit_at_ - last_turn);
+    if (!passed_on_ && (now >= exit_at_ || clients_.size() == 0) && clients_.turn_queue_away() &&
+        now < exit_at_)
+        return;
+    const bool done = exchange_.all_gone() && clients_.size() == 0 &&
+                      client_farewell_.size() + server_farewell_.size() == 0;
+    if (done || now >= exit_at_) ev_break(loop_, EVBREAK_ALL);
 }
 
 void Balancer::record(const capture::Keeping& keeping) {
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -84,7 +84,7 @@
         for (const CallId id : greeting_) {
             const Client& client = conns_.at(id);
             if (now - client.since < (begun ? begun_for : empty_for)) break;  // the oldest stand first
-            if (client.conn->in_mid_line() != begun) continue;
+            if (client.conn->in_mid_line() != begun || client.conn->has_unread()) continue;
             counters_.add(begun ? Count::lines_cut : Count::clients_cut);
             dismiss(id, busy);
             return true;
@@ -97,9 +97,28 @@
     return client.pinged ? longest_after_ping : longest_greeting;
 }
 
-// A prober has had its answer.
-void ClientSide::dismiss(CallId id, std::string_view word) {
-    conns_.at(id).pinged ? end(id, How::finished) : answer(id, word);
+// A prober has had its answer, but a call that it makes on the same connection may be under way: refused.
+void ClientSide::dismiss(CallId id, std::string_view word) { answer(id, conns_.at(id).pinged ? busy : word); }
+
+// At the end of this process: who has said nothing, or at last everyone who has not said what it wants.
+void ClientSide::see_off(bool all) {
+    std::vector<CallId> off;
+    for (const CallId id : greeting_) {
+        const LineConn& conn = *conns_.at(id).conn;
+        if (all || (!conn.in_mid_line() && !conn.has_unread())) off.push_back(id);
+    }
+    for (const CallId id : off) dismiss(id, busy);
+}
+
+// Who still stands in the listener's queue has been taken by this machine. False where nobody did.
+bool ClientSide::turn_queue_away() {
+    bool any = false;
+    while (Fd fd{accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)}) {
+        counters_.add(Count::conns_taken_in);
+        turn_away(std::move(fd));
+        any = true;
+    }
+    return any;
 }
 
 void ClientSide::make_room(int descriptors) {
@@ -252,7 +271,7 @@
     std::vector<CallId> silent;
     for (const CallId id : greeting_) {
         const Client& client = conns_.at(id);
-        if (now - client.since > patience(client)) silent.push_back(id);
+        if (now - client.since > patience(client) && !client.conn->has_unread()) silent.push_back(id);
     }
     for (const CallId id : silent) {
         counters_.add(Count::clients_silent);
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -34,6 +34,8 @@
     size_t unsent(CallId) const override;
     void look(CallId) override;
     void look_for_silent(Instant now);
+    void see_off(bool all);
+    bool turn_queue_away();
     size_t size() const { return conns_.size(); }
 
    private:
--- a/src/net/line_conn.cpp
+++ b/src/net/line_conn.cpp
@@ -84,6 +84,24 @@
     fd_.close();
 }
 
+// The kernel makes a reset of a close with unread bytes, and a reset overtakes what the other side has not
+// read yet. So they are read first, to a bound: who goes on sending gets the reset.
+constexpr int most_drops = 8;
+
+void LineConn::drop() {
+    if (closed() || unsent() > 0 || connecting_) return abort();
+    owner_ = nullptr;
+    ev_io_stop(loop_, &io_);
+    shutdown(fd_.get(), SHUT_WR);
+    for (int k = 0; k < most_drops && recv(fd_.get(), dropped, sizeof dropped, MSG_TRUNC) > 0; ++k) continue;
+    fd_.close();
+}
+
+bool LineConn::has_unread() const {
+    char byte = 0;
+    return !closed() && recv(fd_.get(), &byte, 1, MSG_PEEK) > 0;
+}
+
 void LineConn::let_go() {
     owner_ = nullptr;
     ev_io_stop(loop_, &io_);
@@ -203,6 +221,7 @@
 }
 
 Farewell::~Farewell() {
+    for (Leaving& l : leaving_) l.conn->drop();  // the process may end with this
     ev_ref(loop_), ev_ref(loop_);
     ev_timer_stop(loop_, &timer_);
     ev_prepare_stop(loop_, &before_wait_);
@@ -216,15 +235,16 @@
     size_t left = leaving_.size();
     leaving_.remove_if([&](const Leaving& l) {
         const double longest = most_ > 0 && left > most_ ? shortest_farewell : longest_farewell;
-        if (!l.conn->closed() && ev_now(loop_) - l.since >= longest) l.conn->abort();
+        if (!l.conn->closed() && ev_now(loop_) - l.since >= longest) l.conn->drop();
         left -= l.conn->closed();
         return l.conn->closed();
     });
 }
 
 bool Farewell::shorten() {
-    for (Leaving& l : leaving_)
-        if (!l.conn->closed()) return l.conn->abort(), true;
+    for (const bool all_sent : {true, false})  // an answer that is still here would be lost
+        for (Leaving& l : leaving_)
+            if (!l.conn->closed() && (l.conn->unsent() == 0 || !all_sent)) return l.conn->drop(), true;
     return false;
 }
 
--- a/src/net/line_conn.h
+++ b/src/net/line_conn.h
@@ -46,9 +46,11 @@
     void finish();             // end sending after the last byte, then read to the end: closing earlier could
                                // wipe out what was just sent
     void abort();
+    void drop();    // closes now; what was written still arrives, as long as all of it was
     void let_go();  // another process has the connection now: no word to the other side
     bool in_mid_line() const { return !in_.empty(); }  // a part of a line has come and waits for the rest
     size_t behind() const { return behind_; }  // bytes that have come after the line being handed over
+    bool has_unread() const;                   // bytes wait with the kernel
     bool closed() const { return !fd_; }
     uint64_t id() const { return id_; }
     static size_t buffered_by_all() { return all_buffered_.load(std::memory_order_relaxed); }
--- /dev/null
+++ b/tests/net/site.h
@@ -0,0 +1,150 @@
+// Real processes of the program, with the test as their clients, servers and discovery.
+#pragma once
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <fstream>
+
+#include "net/command_line.h"
+#include "peers_by_hand.h"
+
+struct Site : Loop {
+    Listener server, agent;
+    std::string listen = free_place(), folder = "site_test_" + std::to_string(getpid());
+    std::string meeting = folder + "/headrouter-" + listen + ".sock";
+    std::string peers, allowed;  // of the configuration, where messages are permitted
+    std::vector<pid_t> children;
+    std::vector<Peer> watches;  // that wait for news
+    uint64_t last_id = 1'000'000'000'000'000;
+
+    Site() { mkdir(folder.c_str(), 0700); }
+    ~Site() {
+        for (const pid_t child : children) kill(child, SIGKILL), waitpid(child, nullptr, 0);
+        const std::string made = config();
+        unlink(made.c_str()), unlink(meeting.c_str()), rmdir(folder.c_str());
+    }
+    std::string config() const { return folder + "/config.json"; }
+    void write_config(const std::string& ops, const std::string& settings_end = "}]}}") {
+        std::ofstream(config()) << "{" << peers << R"("listen":")" << listen << R"(","ops":")" << ops
+                                << R"(","discovery":")" << agent.at
+                                << R"(","seed":"1f","limits":{"sockets":400},"known":{"generation":1,
+            "reset":true,"instances":[{"instanceId":"s","hostPort":")"
+                                << server.at << R"(","zone":"a","lifecycle":"SERVING"}]},
+            "settings":{"discovery":"push","failureDomains":["a"],"ceilings":{)"
+                                << allowed << R"("maxLegs":2,"dialTimeoutNs":150000000},"groupSize":2,
+            "invariants":{"coldNs":0},"trafficTypes":[{"name":"chat","effect":"pure","setupTargetNs":800000000,
+            "guardTimeNs":1000000000)"
+                                << settings_end;
+    }
+    // A program and the address where it can be asked.
+    struct Program {
+        pid_t pid;
+        std::string ops;
+    };
+    Program launch(const char* tmpdir = nullptr) {
+        std::string ops = free_place();
+        write_config(ops);
+        return {spawn(tmpdir ? tmpdir : folder.c_str()), std::move(ops)};
+    }
+    pid_t spawn(const char* tmpdir) {
+        const pid_t child = fork();
+        if (child == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that fails leaves nobody behind
+            setenv("PROXY_CONFIG", config().c_str(), 1);
+            tmpdir&&* tmpdir ? setenv("TMPDIR", tmpdir, 1) : unsetenv("TMPDIR");
+            std::string serve = "serve", level = "--log=error", name = "headrouter";
+            char* args[] = {name.data(), serve.data(), level.data(), nullptr};
+            _exit(command_line(3, args));
+        }
+        children.push_back(child);
+        return child;
+    }
+    std::string ask(const Program& program, const std::string& call) {
+        Peer p = dial(program.ops);
+        p.write(call + "\r\n");
+        until([&] { return p.read(), p.ended || p.broke; });
+        return p.got;
+    }
+    Program start(const char* tmpdir = nullptr) {
+        Program program = launch(tmpdir);
+        assert(until([&] { return ask(program, "STATUS") == "done\r\n"; }));
+        return program;
+    }
+    bool exits(pid_t child, int& status) {
+        return until([&] { return waitpid(child, &status, WNOHANG) == child; });
+    }
+    void leaves(pid_t child) {
+        int status = -1;
+        kill(child, SIGTERM);
+        assert(exits(child, status) && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    }
+    bool says(Peer& p, const std::string& text) {
+        return until([&] { return p.read(), p.got.find(text) != std::string::npos; });
+    }
+    Peer client() {
+        Peer p = dial(listen);
+        p.write("OPEN " + std::to_string(++last_id) + " 2b c=chat,d=900\r\n");
+        return p;
+    }
+    Peer taken() {
+        Peer p;
+        assert(until([&] { return (p = server.accept(), bool(p.fd)); }));
+        assert(says(p, " 2b c=chat,d="));
+        return p;
+    }
+    std::pair<Peer, Peer> standing() {
+        Peer c = client(), s = taken();
+        s.write("UP r\r\n");
+        assert(says(c, "UP r\r\n"));
+        return {std::move(c), std::move(s)};
+    }
+    void carries(std::pair<Peer, Peer>& pair, const std::string& line) {
+        pair.first.write(line), pair.second.write("re: " + line);
+        assert(says(pair.second, line) && says(pair.first, "re: " + line));
+    }
+    // One that speaks the starting process's part by hand.
+    Peer caller(const std::string& layout) {
+        Peer p{Fd(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0)), {}};
+        sockaddr_un a{};
+        a.sun_family = AF_UNIX;
+        std::copy(meeting.begin(), meeting.end(), a.sun_path);
+        assert(connect(p.fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+        p.write("headrouter 1 " + layout);
+        return p;
+    }
+    // And one that speaks the running process's part: where the next one asks, and what it gets first.
+    Fd door() {
+        unlink(meeting.c_str());
+        sockaddr_un a{};
+        a.sun_family = AF_UNIX;
+        std::copy(meeting.begin(), meeting.end(), a.sun_path);
+        Fd fd(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+        assert(bind(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
+        assert(::listen(fd.get(), 1) == 0);
+        return fd;
+    }
+    Peer heir_at(const Fd& door) {
+        Peer heir;
+        assert(until([&] {
+            heir.fd = Fd(accept4(door.get(), nullptr, nullptr, SOCK_CLOEXEC));
+            return bool(heir.fd);
+        }));
+        std::string fault;
+        const Fd listener = listen_on(*Address::from(listen), fault, true);
+        char control[CMSG_SPACE(sizeof(int))] = {}, word = 'd';
+        iovec part{&word, 1};
+        msghdr message{};
+        message.msg_iov = &part, message.msg_iovlen = 1;
+        message.msg_control = control, message.msg_controllen = sizeof control;
+        cmsghdr* c = CMSG_FIRSTHDR(&message);
+        c->cmsg_level = SOL_SOCKET, c->cmsg_type = SCM_RIGHTS, c->cmsg_len = CMSG_LEN(sizeof(int));
+        const int fd = listener.get();
+        std::copy_n(reinterpret_cast<const char*>(&fd), sizeof fd, CMSG_DATA(c));
+        assert(sendmsg(heir.fd.get(), &message, 0) == 1);
+        return heir;
+    }
+};
--- a/tests/net/test_endings.cpp
+++ b/tests/net/test_endings.cpp
@@ -114,3 +114,60 @@
     assert(w.until([&] { return w.count(Count::lists_told) == 2; }));
     assert(Clock::now() - back < seconds(0.5));
 }};
+
+// An answer stands with the kernel behind what its client, who reads late, has not taken yet, and bytes of
+// the client are unread: room is made, and all of it arrives the same.
+static const Case an_answer_outlives_its_farewell{[] {
+    Loop l;
+    Listener listener;
+    Peer near = {Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)), {}};
+    const int narrow = 4096;
+    setsockopt(near.fd.get(), SOL_SOCKET, SO_RCVBUF, &narrow, sizeof narrow);
+    const Address at = *Address::from(listener.at);
+    connect(near.fd.get(), reinterpret_cast<const sockaddr*>(&at.bytes), at.size);
+    Fd far = std::move(listener.accept().fd);
+    fcntl(far.get(), F_SETFL, O_NONBLOCK);
+    struct Nobody : LineConn::Owner {
+        void bytes_came(LineConn&, std::string_view, bool) override {}
+        void conn_ended(LineConn&, How) override {}
+    } nobody;
+    auto conn = std::make_unique<LineConn>(l.loop, std::move(far), nobody, 1);
+    conn->start(false);
+    const std::string last = std::string(60'000, 'y') + "\r\nERR\r\n";
+    conn->send(last);
+    conn->finish();
+    assert(conn->unsent() == 0);
+    near.write(std::string(100'000, 'x'));
+    usleep(20'000);
+    Farewell farewell(l.loop);
+    farewell.take(std::move(conn));
+    assert(farewell.shorten() && !farewell.shorten());
+    assert(l.until([&] { return near.read(), near.ended || near.broke; }));
+    assert(near.got == last && near.ended);
+}};
+
+// A prober's call lies unread when its connection is the oldest silent one and others crowd in: heard, not
+// cut. A prober that is sent away is told so, as a call of its own may be on the way.
+static const Case a_prober_that_goes_on_with_a_call_is_heard_or_answered{[] {
+    World w(Fd::held() + 400);
+    std::vector<Peer> probers, crowd;
+    for (int k = 0; k < 50; ++k) {
+        probers.push_back(dial(w.boot.listen));
+        probers.back().write("PING\r\n");
+        one_turn(w);
+    }
+    for (Peer& p : probers) assert(w.says(p, "PONG\r\n"));
+    w.turn(0.15);
+    probers[0].write(w.opening("c=chat,d=900"));  // the loop stands still here, and the others come
+    usleep(5'000);
+    for (int k = 0; k < 30; ++k) crowd.push_back(dial(w.boot.listen));
+    usleep(5'000);
+    Peer s = w.taken();
+    s.write("UP r\r\n");
+    assert(w.says(probers[0], "UP r\r\n"));
+    assert(w.count(Count::clients_cut) > 0);
+    for (size_t k = 1; k < probers.size(); ++k) {
+        probers[k].read();
+        if (probers[k].ended) assert(probers[k].got == "PONG\r\nBUSY\r\n");
+    }
+}};
--- /dev/null
+++ b/tests/net/test_leaving.cpp
@@ -0,0 +1,66 @@
+// The end of a process, with real processes that stand still at the wrong moment.
+#include "site.h"
+
+static bool stops(pid_t child) {
+    int status = 0;
+    kill(child, SIGSTOP);
+    return waitpid(child, &status, WUNTRACED) == child && WIFSTOPPED(status);
+}
+
+// Told to end, it stands still until its time to go is over; forty clients connect and speak meanwhile.
+static const Case who_stands_in_the_queue_of_a_process_that_ends_is_answered{[] {
+    Site w;
+    const auto program = w.start();
+    kill(program.pid, SIGTERM);
+    w.turn(0.05);
+    assert(stops(program.pid));
+    std::vector<Peer> clients;
+    for (int k = 0; k < 40; ++k) clients.push_back(w.client());
+    w.turn(0.6);
+    kill(program.pid, SIGCONT);
+    for (Peer& c : clients) assert(w.until([&] { return c.read(), c.ended || c.broke; }));
+    for (Peer& c : clients) assert(c.got == "BUSY\r\n");
+    int status = -1;
+    assert(w.exits(program.pid, status) && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}};
+
+// Its line comes in pieces, the last one when all others have gone; a second word to end changes nothing.
+static const Case a_line_begun_before_the_end_is_heard_to_its_end{[] {
+    Site w;
+    const auto program = w.start();
+    Peer slow = dial(w.listen), silent = dial(w.listen);
+    slow.write("OPEN 1000000000000777 2b c=ch");
+    w.turn(0.05);
+    kill(program.pid, SIGTERM);
+    w.turn(0.3);
+    kill(program.pid, SIGTERM);
+    w.turn(0.4);
+    assert(w.says(silent, "BUSY\r\n"));
+    silent.fd.close();
+    w.turn(0.3);  // nobody else keeps the process
+    slow.write("at,d=900\r\n");
+    assert(w.says(slow, "BUSY\r\n"));
+    int status = -1;
+    assert(w.exits(program.pid, status) && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}};
+
+// The process stands still for a second in which its client comes, speaks and goes.
+static const Case a_client_that_left_while_the_process_stood_still_is_not_sent_on{[] {
+    for (const bool reset : {false, true}) {
+        Site w;
+        const auto program = w.start();
+        fcntl(w.server.fd.get(), F_SETFL, O_NONBLOCK);
+        assert(stops(program.pid));
+        std::vector<Peer> clients;
+        for (int k = 0; k < 20; ++k) clients.push_back(w.client());
+        w.turn(0.4);
+        for (Peer& c : clients) reset ? c.rst() : c.fin();
+        w.turn(0.4);
+        kill(program.pid, SIGCONT);
+        w.turn(0.5);
+        for (Peer s; s = w.server.accept(), s.fd;) {
+            assert(w.until([&] { return s.read(), s.ended || s.broke; }));
+            assert(s.got.empty());
+        }
+    }
+}};
