The rig counts clients that left while they waited, and legs sent on for them

Crowd notes when a client goes without its answer (session over, guard time over, a trouble that drops clients: now also those that wait) and counts legs whose first byte comes to a server over 0.3 s later; both stand in results (older results are read as before) and in the printed tables.

--- a/src/fleet/outcome.cpp
+++ b/src/fleet/outcome.cpp
@@ -67,7 +67,8 @@
     };
     sum(asked_each, o.asked_each), sum(served_each, o.served_each);
     for (uint64_t Outcome::*count : {&Outcome::up, &Outcome::up_in_time, &Outcome::busy, &Outcome::failed,
-                                     &Outcome::moved, &Outcome::broken, &Outcome::gave_up, &Outcome::legs})
+                                     &Outcome::moved, &Outcome::broken, &Outcome::gave_up, &Outcome::legs,
+                                     &Outcome::left_waiting, &Outcome::sent_after_left})
         this->*count += o.*count;
 }
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -121,6 +121,10 @@
         if (!o.not_judged.empty())
             std::cout << "not judged: " << o.arm << ", seed " << o.seed << ": " << o.not_judged << "\n";
         unjudged = unjudged || !o.not_judged.empty();
+        if (o.left_waiting > 0)
+            std::cout << o.arm << ", seed " << o.seed << ": " << o.left_waiting
+                      << " clients left while they waited, " << o.sent_after_left
+                      << " legs of theirs began over 0.3 s later\n";
         for (const std::string& example : o.examples)
             std::cout << o.arm << ", seed " << o.seed << ": " << example << "\n";
     }
--- a/src/lab/results.cpp
+++ b/src/lab/results.cpp
@@ -37,6 +37,9 @@
     {"busy", &Outcome::busy},     {"failed", &Outcome::failed},   {"moved", &Outcome::moved},
     {"broken", &Outcome::broken}, {"gave_up", &Outcome::gave_up}, {"legs", &Outcome::legs},
     {"events", &Outcome::events}};
+// Since later: results that lack them are read all the same.
+constexpr std::pair<const char*, uint64_t Outcome::*> later_counts[] = {
+    {"left_waiting", &Outcome::left_waiting}, {"sent_after_left", &Outcome::sent_after_left}};
 constexpr std::pair<const char*, std::vector<Span> Outcome::*> delays[] = {
     {"delay_median_ms", &Outcome::delay_median},
     {"delay_95_ms", &Outcome::delay_95},
@@ -121,6 +124,7 @@
     w.Key("partial"), w.Bool(o.partial);
     if (!o.not_judged.empty()) text("not_judged", o.not_judged);
     for (const auto& [name, field] : counts) w.Key(name), w.Uint64(o.*field);
+    for (const auto& [name, field] : later_counts) w.Key(name), w.Uint64(o.*field);
     w.Key("rules");
     w.StartObject();
     for (size_t r = 0; r < o.rules.size(); ++r) w.Key(word(static_cast<Rule>(r))), w.Uint64(o.rules[r]);
@@ -184,6 +188,8 @@
     o.partial = flag(doc, "partial");
     o.not_judged = text_or(doc, "not_judged", "");
     for (const auto& [name, field] : counts) o.*field = static_cast<uint64_t>(natural(doc, name));
+    for (const auto& [name, field] : later_counts)
+        if (find(doc, name)) o.*field = static_cast<uint64_t>(natural(doc, name));
     const Json& rules = object(doc, "rules");
     for (size_t r = 0; r < static_cast<size_t>(Rule::how_many); ++r)
         o.rules.push_back(static_cast<uint64_t>(natural(rules, word(static_cast<Rule>(r)))));
--- a/src/standin/crowd.cpp
+++ b/src/standin/crowd.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 constexpr Span remembered = seconds(30), connect_patience = seconds(1);
-}
+constexpr Span soon_after = seconds(0.3);  // the operators' bound on sending on for a client that has left
+}  // namespace
 
 Crowd::Crowd(Agenda& agenda, const World& world, std::vector<Session> sessions, uint64_t seed, Ledger& ledger,
              Outcome& out)
@@ -123,6 +124,7 @@
     Client& c = clients_[who];
     if (c.call != call || c.state != Client::State::asking) return;
     ledger_.client_left(call, true);
+    leaves_waiting(c);
     hang_up(who);
     away(who, c.patience->after_failure(agenda_.now(), chance_));
 }
@@ -230,10 +232,18 @@
     }
 }
 
+void Crowd::leaves_waiting(const Client& c) {
+    if (c.state != Client::State::asking) return;
+    ++out_.left_waiting;
+    const std::lock_guard held(book_);
+    if (const auto it = sent_.find(c.call); it != sent_.end()) it->second.left = agenda_.now();
+}
+
 void Crowd::end_session(size_t who) {
     Client& c = clients_[who];
     if (c.state == Client::State::over) return;
     if (c.state == Client::State::asking || c.state == Client::State::up) ledger_.client_left(c.call, false);
+    leaves_waiting(c);
     hang_up(who);
     c.state = Client::State::over;
     ++over_;
@@ -249,16 +259,18 @@
 void Crowd::drop(double part) {
     for (size_t who = 0; who < clients_.size(); ++who) {
         Client& c = clients_[who];
-        if (c.state != Client::State::up || chance_.uniform() >= part) continue;
+        const bool waits = c.state == Client::State::asking;
+        if ((c.state != Client::State::up && !waits) || chance_.uniform() >= part) continue;
         ledger_.client_left(c.call, false);
+        leaves_waiting(c);
         hang_up(who);
-        c.again = true;
+        c.again = c.again || !waits;
         away(who, c.patience->after_break(agenda_.now(), chance_));
     }
 }
 
 void Crowd::stop() {
-    if (!std::exchange(stopped_, true)) out_.legs += legs_;
+    if (!std::exchange(stopped_, true)) out_.legs += legs_, out_.sent_after_left += sent_after_left_;
     for (size_t who = 0; who < clients_.size(); ++who) end_session(who);
 }
 
@@ -309,7 +321,11 @@
     ++legs_;
     {
         const std::lock_guard held(book_);
-        if (const auto it = sent_.find(call); it != sent_.end()) it->second.server = server;
+        if (const auto it = sent_.find(call); it != sent_.end()) {
+            it->second.server = server;
+            const Instant left = it->second.left;
+            sent_after_left_ += left.ns != 0 && agenda_.now() - left > soon_after;
+        }
     }
     ledger_.leg_began(agenda_.now(), call, server, balancer);
 }
--- a/src/standin/crowd.h
+++ b/src/standin/crowd.h
@@ -72,6 +72,7 @@
     void answered(size_t who, std::string_view line);
     void away(size_t who, std::optional<Instant> again);
     void hang_up(size_t who);
+    void leaves_waiting(const Client&);
     void end_session(size_t who);
     int choose(int zone);
     std::string opening(const Client&, const fleet::Session&) const;
@@ -99,13 +100,14 @@
         std::string line;
         bool ended_by_server = false;
         int server = -1;  // of its latest leg
+        Instant left;     // when its client went without an answer; zero: it did not
     };
     std::mutex book_;                          // of what follows, which servers read as well
     std::unordered_map<uint64_t, Sent> sent_;  // by call, for the servers and for what comes late
     std::deque<std::pair<Instant, uint64_t>> old_;
     std::function<bool(int)> answers_;
     std::string short_of_;
-    std::atomic<uint64_t> garbled_{0}, legs_{0};
+    std::atomic<uint64_t> garbled_{0}, legs_{0}, sent_after_left_{0};
     size_t over_ = 0;
     bool stopped_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/lab/test_crowd.cpp
+++ b/tests/lab/test_crowd.cpp
@@ -41,6 +41,16 @@
     assert(served(o, 2) > 0.99 && served(o, 4) < 0.5 && served(o, 7) > 0.99);
 }
 
+// Half of the processes stand still for 3.5 s, just when most clients come again: who speaks to one of those
+// goes when its guard time of 2 s is over, and is not sent on when the process goes on.
+static void who_left_during_a_stall_is_not_sent_on() {
+    const Outcome o = play_crowd(crowd_world(
+        8, 4, 12,
+        fault("stall", 3, 3.5, "part = 0.5") +
+            "[[trouble]]\nkind = \"reconnect\"\nat = \"3200ms\"\nlasts = \"500ms\"\npart = 0.8\n"));
+    assert(clean(o) && o.left_waiting > 5 && o.sent_after_left == 0);
+}
+
 // The program takes its shift to the wall clock when it starts; the round is in each message's head.
 static void a_wrong_clock_is_read_by_processes_that_start_under_it() {
     std::mutex lock;
@@ -107,7 +117,7 @@
 static Case each_kind_of_fault_shows_its_effect([] {
     std::vector<std::thread> all;
     for (void (*shows)() :
-         {stalled_processes_answer_nothing_and_later_do,
+         {stalled_processes_answer_nothing_and_later_do, who_left_during_a_stall_is_not_sent_on,
           a_wrong_clock_is_read_by_processes_that_start_under_it, leaving_handing_over_and_reloading_in_order,
           one_that_stands_still_while_it_hands_over_breaks_nothing,
           each_sees_the_world_by_its_own_list_and_paths})
