Repeated legs have a budget, and cold servers get their first connections where budgets are small

Ruled out: single bad servers (errors spread evenly over all), a hung store before the storm. At fault: Brain::guard_effect and send, which know a limit a call but none a balancer. Second: of 766 set-ups in 4 s 43 went to the forty new servers, none of which reset anything, while the survivors reset 468: with three connections a balancer the first one is let to a cold server by chance (cold_budget_left), and those let through then drew it like any other, chance times chance.

Change: legs for calls of which an earlier leg may have run are at most two and a fifth of the calls of the last five seconds (src/repeats, no I/O); a leg after which none may follow has all the time; refused connects and BUSY cost nothing and are not counted. Who is let through to a cold server goes there first, up to half of its budget; nothing changes where a share is a connection or more.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -21,21 +21,17 @@
 constexpr int terms_kept = 6;
 // Design 2 and 5. Ten clients a term would empty a server of which one balancer holds a handful. The floor is
 // against groups: a few of one together are an excess wherever the share is under one connection.
-constexpr double saturation_band = 1.05, saturation_floor = 10;
-constexpr int least_shed = 1;
+constexpr double saturation_band = 1.05, saturation_floor = 10, kept_share = 0.1;  // the last: design 7
 // Design 7.
-constexpr int judged_from = 20, terms_out = 3;
-constexpr double kept_share = 0.1;
+constexpr int least_shed = 1, judged_from = 20, terms_out = 3;
 // Design 6: the table of keys that failed elsewhere.
 constexpr size_t keys_kept = 2048, draws_kept = 4096;
-constexpr Span key_age_limit = seconds(30);
 constexpr int few_tries = 16;  // at a random server, before all are looked at
 // Distrust: points a failure, time in which half of it fades, and the first time-out of a failing server.
 constexpr double points_failed = 1, points_full = 0.5, points_reset = 0.5, points_forgiven = 0.5,
                  forgotten = 0.02;
 constexpr Span distrust_half = seconds(4), first_skip = seconds(0.4), longest_skip = seconds(3);
-// Legs: the share of the setup target that a leg may take while another could follow.
-constexpr double leg_patience = 0.6;
+constexpr double leg_patience = 0.6;  // of the setup target, for a leg while another could follow
 // Messages told to be slow: from which part of the shortest message target a server sheds, the use of its
 // cores that is aimed at, how fast piled-up work is to go, and how fast its ceiling comes back.
 constexpr double slow_from = 0.8, good_use = 0.85, least_use = 0.3, backlog_time = 5;
@@ -44,23 +40,18 @@
 constexpr double ceiling_growth = 0.04, ceiling_life = 30, unbounded = 1e12;
 // Groups: the work that a server has with one, in usual connections; how far over share and by how many
 // connections it may go for one; how much larger than its part a home is.
-constexpr double group_work = 4;
-constexpr double group_slack = 1.25, group_room = 2, group_spread = 1.3;
-// Pairs of connections that a balancer sees before it believes how often two are in one group.
-constexpr double pairs_believed = 40;
+constexpr double group_work = 4, group_slack = 1.25, group_room = 2, group_spread = 1.3;
+constexpr double pairs_believed = 40;  // of connections, before it is believed how often two are in one group
 // Rule 4: the part of what makes a cold server fall, by its warming share, that a balancer sends it, and what
 // a lost server still counts in the shares for that after a term.
-constexpr double cold_part = 2.0 / 3, weight_kept = 0.9;
+constexpr double cold_part = 2.0 / 3, weight_kept = 0.9, warmed_part = 0.5;  // the last: of that, first
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
 constexpr double far_cost = 8, far_cost_dear = 15, least_far = 0.02, near_weight = 0.5;
-// Servers that a balancer is taken to hear of beyond its own, against judging by one or two.
-constexpr double heard_least = 1;
+constexpr double heard_least = 1;  // servers heard of beyond the own, against judging by one or two
 // How many servers, and which part of those heard of, are much of the fleet when they are slow: one or two of
 // a handful say little about the others.
-constexpr int slow_least = 3;
-constexpr double slow_fleet = 0.25;
-constexpr Span crash_window = seconds(1);
-constexpr Span hold_step = millis(20);
+constexpr double slow_least = 3, slow_fleet = 0.25;
+constexpr Span crash_window = seconds(1), hold_step = millis(20), key_age_limit = seconds(30);
 // The list: pause between asks, doubled up to a part of what lets drains be deemed told.
 constexpr Span first_ask_pause = millis(300), longest_ask_pause = seconds(2);
 
@@ -134,6 +125,7 @@
 // Rule 2: no further leg for what must not run twice.
 Brain::Verdict Brain::guard_effect(Instant now, Call& call) {
     if (static_cast<int>(call.legs.size()) >= told_.max_legs) return Verdict::end;
+    if (call.may_have_run >= 0 && !repeats_.left(now)) return Verdict::end;
     const TrafficType& type = told_.types[call.type];
     if (call.may_have_run < 0 || type.effect == Effect::repeatable) return Verdict::pass_on;
     if (type.effect == Effect::once_only) return Verdict::end;
@@ -152,6 +144,7 @@
     const double load = load_of(call);
     const bool back_in_pause = note && !note->parked && in_pause(now);
     const Room room{now, call, fleet, load, back_in_pause ? note->server : -1, pool_trust(now)};
+    if ((call.chosen = warmed_first(room)) >= 0) return Verdict::pass_on;
     if (draw_name_of(call).empty())
         place_alone(room, call);
     else
@@ -162,6 +155,21 @@
     return Verdict::pass_on;
 }
 
+// Where a cold server's budget is far below one connection, a few of hundreds of balancers are let through by
+// chance (rule 4). Those go there first: were it drawn like all others then, nobody would warm it up.
+int Brain::warmed_first(const Room& room) {
+    int first = -1;
+    for (const Share& u : room.fleet.unusual) {
+        const Server& s = servers_[u.server];
+        if (!u.open || !cold(room.now, s) || s.cold_sent > 0 || u.share >= room.load) continue;
+        if (u.server == room.back_from || is_slow(room, u.server)) continue;
+        const double total = room.fleet.total * warmed_part * s.weight / plain_weight(s);
+        const bool nearer = first < 0 || s.draw < servers_[first].draw;
+        if (nearer && cold_budget_left(room.now, s, room.load, total)) first = u.server;
+    }
+    return first;
+}
+
 // Random among the servers below share, else the least over (design 3). A share under one connection is below
 // share for a whole one only by chance: the draw from the balancer's own number and the server's, which keeps
 // the sum over all balancers right and each to the servers that rank highest for it.
@@ -301,11 +309,10 @@
     return least;
 }
 
-double Brain::own_rank(int k) const { return servers_[k].draw / servers_[k].weight; }
-
 Brain::Verdict Brain::send(Instant now, Call& call) {
     const Span left = call.guard - now;
-    const bool last = static_cast<int>(call.legs.size()) + 1 >= told_.max_legs;
+    if (call.may_have_run >= 0) repeats_.repeated(now);
+    const bool last = static_cast<int>(call.legs.size()) + 1 >= told_.max_legs || !repeats_.left(now);
     const Span target = told_.types[call.type].setup_target;
     const Span patience = last ? left : std::min(target * leg_patience, left * 0.5);
     Server& s = servers_[call.chosen];
@@ -363,8 +370,6 @@
     return told_.advises ? told_.max_advice * (0.3 + 0.7 * chance_.uniform()) : Span{};
 }
 
-void Brain::forget(CallId id) { calls_.erase(id); }
-
 void Brain::hold(Instant now, Call& call) {
     if (!call.held) held_.push_back(call.id);
     call.held = true;
@@ -387,17 +392,11 @@
     return load;
 }
 
-double Brain::load_on(const Server& s) const { return load_in(s.holding); }
-
 double Brain::ramp(Instant now, const Server& s) const {
     if (!s.warm_from || told_.cold_time.ns <= 0) return 1;
     return std::clamp((now - *s.warm_from) / told_.cold_time, 0.0, 1.0);
 }
 
-bool Brain::cold(Instant now, const Server& s) const { return ramp(now, s) < 1; }
-
-double Brain::trust(Instant now, const Server& s) const { return 1 / (1 + distrust(now, s)); }
-
 bool Brain::usable(Instant now, const Server& s) const {
     if (s.listed.condition != Condition::active || now < s.out_until || now < s.skip_until) return false;
     return s.failures_in_row == 0 || s.setting_up == 0;  // a failing server is tried by one leg at a time
@@ -579,6 +578,7 @@
 
 void Brain::call_arrived(Instant now, Call call) {
     const CallId id = call.id;
+    repeats_.call_came(now);
     if (!call.again) tell_credit_ = std::min(tell_credit_ + credit_a_call, most_credit);
     if (call.hinted_load)
         loads_.learn(call.type, call.load = static_cast<double>(call.hinted_load->ns) / 1000);
@@ -642,10 +642,9 @@
 }
 
 void Brain::move_call(Instant, Call& call) {
-    const CallId id = call.id;
-    out_.move(id);
+    out_.move(call.id);
     uncount(call);
-    forget(id);
+    forget(call.id);
 }
 
 void Brain::load_told(Instant, CallId id, double micros) {
@@ -733,8 +732,6 @@
 // Many balancers hold a connection or none each on a server: rounded by chance, their whole connections add
 // up to what it can do; cut off all alike, they would leave it empty (ief3d44). With many connections it
 // hardly matters.
-double Brain::ceiling_of(Instant now, const Server& s) const { return bare_ceiling(now, s) + s.rounding; }
-
 double Brain::full_share(const Server& s) const {
     return load_in(all_) * s.weight / std::max(listed_weight_, 1e-9);
 }
@@ -861,8 +858,6 @@
 
 Instant Brain::begin_of(int64_t round) const { return Instant{round * round_time.ns - told_.wall_ahead.ns}; }
 
-int Brain::summed_by(int64_t round) const { return static_cast<int>(round % told_.balancers); }
-
 void Brain::begin_round(Instant now) {
     if (!(round_timer_ = told_.tells_peers)) return;
     const int64_t round = round_at(now);
@@ -906,8 +901,6 @@
         servers_[k].pooled = known[k].pooled, servers_[k].own_then = load_on(servers_[k]);
 }
 
-double Brain::pool_trust(Instant now) const { return told_.tells_peers ? rounds_.trust(now) : 0; }
-
 // Every server's room over all balancers, asked for and told by way of one of them (departure 12).
 void Brain::beat_pool(Instant now) {
     if (!pool_timer_) return;
--- a/src/brain.h
+++ b/src/brain.h
@@ -19,6 +19,7 @@
 #include "peers/peer_bytes.h"
 #include "peers/rounds.h"
 #include "peers/tally.h"
+#include "repeats/repeat_budget.h"
 #include "spread/order.h"
 #include "spread/pool.h"
 
@@ -224,7 +225,7 @@
     void back_send(Instant, Call&, const Back&);
 
     void give_up(Instant, Call&);
-    void forget(CallId);
+    void forget(CallId id) { calls_.erase(id); }
     void hold(Instant, Call&);
     Scope scope_of(const Call&) const;
     bool in_scope(const Call&, const Server&) const;
@@ -235,7 +236,7 @@
     bool seems_slow(const Room&, int server);
     bool has_room(const Room&, int server, bool grouped) const;
     int least_over(const Room&, const Draw*) const;
-    double own_rank(int server) const;
+    double own_rank(int k) const { return servers_[k].draw / servers_[k].weight; }
     bool near(const Server&) const;
     double group_doubt() const;
     Fleet look(Instant, const Call*);
@@ -247,17 +248,18 @@
     int members_on(int server, const std::string& group) const;
     double load_in(const Holding&) const;
     double bare_ceiling(Instant, const Server&) const;
-    double ceiling_of(Instant, const Server&) const;
+    double ceiling_of(Instant now, const Server& s) const { return bare_ceiling(now, s) + s.rounding; }
     double full_share(const Server&) const;
-    double trust(Instant, const Server&) const;
+    double trust(Instant now, const Server& s) const { return 1 / (1 + distrust(now, s)); }
     double ramp(Instant, const Server&) const;
-    bool cold(Instant, const Server&) const;
+    bool cold(Instant now, const Server& s) const { return ramp(now, s) < 1; }
     bool usable(Instant, const Server&) const;
+    int warmed_first(const Room&);
     bool cold_budget_left(Instant, const Server&, double load, double total) const;
     void weigh(Server&);
     void begin_warm_up(Instant from, Server&);
     double load_of(const Call&) const;
-    double load_on(const Server&) const;
+    double load_on(const Server& s) const { return load_in(s.holding); }
     double distrust(Instant, const Server&) const;
     void broke(Instant, Server&);
     void suspect(Instant, Server&, double points);
@@ -285,8 +287,8 @@
     void take_sum(Instant, int64_t round, size_t tellers, double total, const peers::Rows&);
     int64_t round_at(Instant) const;
     Instant begin_of(int64_t round) const;
-    int summed_by(int64_t round) const;
-    double pool_trust(Instant) const;
+    int summed_by(int64_t round) const { return static_cast<int>(round % told_.balancers); }
+    double pool_trust(Instant now) const { return told_.tells_peers ? rounds_.trust(now) : 0; }
     void beat_pool(Instant);
     void draw_servers();
     std::vector<spread::Part> parts() const;
@@ -323,6 +325,7 @@
     std::vector<std::pair<uint32_t, int>> to_tell_;
     double tell_credit_ = 2400;  // bytes over all who read them, earned by calls
     bool tell_timer_ = false, round_timer_ = false, pool_timer_ = false;
+    RepeatBudget repeats_;
 };
 
 }  // namespace headrouter
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -209,6 +209,9 @@
     visit_latest(a, b.told_);
     visit(a, b.pool_timer_);
     visit_state(a, b.pool_);
+    if constexpr (!A::writes)
+        if (a.left() == 0) return;
+    visit_state(a, b.repeats_.calls_), visit_state(a, b.repeats_.repeats_);
 }
 
 }  // namespace headrouter
