--- a/tests/brain/test_legs.cpp
+++ b/tests/brain/test_legs.cpp
@@ -79,3 +79,30 @@
     b.leg_stands(now, 1, 0, millis(4));
     assert(p.server("a").warm_from == now && p.share(now + seconds(1), "a") < 1);
 }};
+
+// Everything fails at once. What may have cost a server its work is asked for again for two calls and a fifth
+// of those of the last seconds; the others are told at once when to come back, and a leg that none may follow
+// has all the time. Legs that cannot have run cost nothing and are not counted.
+static const Case repeated_legs_have_a_budget{[] {
+    std::vector<Listed> list = some_servers(20);
+    for (const auto& [how, legs, rejected] : {std::tuple(Ending::timed_out, 25u, 19u),
+                                              {Ending::error, 25u, 19u},
+                                              {Ending::reset, 25u, 19u},
+                                              {Ending::connect_failed, 76u, 19u},
+                                              {Ending::full, 76u, 19u}}) {
+        auto&& [w, b, p] = Rig(list);
+        std::vector<int> ended(20);
+        for (CallId id = 1; id <= 19; ++id) b.call_arrived(term_start, call(id, term_start));
+        for (size_t at = 0; at < w.sent.size(); ++at) {
+            const CallId id = w.sent[at].call;
+            b.leg_ended(term_start + millis(50), id, ended[id]++, how, millis(50), false, {});
+        }
+        assert(w.sent.size() == legs && w.rejected.size() == rejected);
+        assert(w.advice.ns > 0);
+        if (legs == 76) continue;
+        b.call_arrived(term_start + millis(60), call(30, term_start));
+        assert(w.sent.back().time_out == seconds(2) - millis(60));  // until its guard time
+        b.call_arrived(term_start + seconds(7), call(31, term_start + seconds(7)));
+        assert(w.sent.back().time_out == millis(180));  // the budget is back
+    }
+}};
--- a/tests/brain/test_rules.cpp
+++ b/tests/brain/test_rules.cpp
@@ -75,6 +75,25 @@
     assert(w.sent.size() == 20);
 }};
 
+// 300 balancers of three connections each, forty servers, five of them half warm: who is let through to one
+// by chance goes there, or hardly anybody would (zanella-serra, roll: 43 of 766). 25 connections each are
+// their warming share of 1,200; a quarter of that is what one call a balancer can bring.
+static const Case those_let_through_to_cold_servers_go_there_first{[] {
+    for (const bool grouped : {false, true}) {
+        int cold = 0;
+        for (uint64_t k = 0; k < 300; ++k) {
+            std::vector<Listed> list = some_servers(40);
+            for (Listed& l : list) l.weight = 1;
+            for (size_t n = 0; n < 5; ++n) list[n].launched = term_start - seconds(5);
+            auto&& [w, b, p] = Rig(list, numbered(k));
+            for (CallId id = 0; id < 3; ++id) stand(b, term_start, list[5 + (k + id * 7) % 35].server, id, 1);
+            b.call_arrived(term_start, call(9, term_start, "", grouped ? "g" + std::to_string(k) : ""));
+            for (size_t n = 0; n < 5; ++n) cold += w.sent.at(0).server == list[n].server;
+        }
+        assert(cold > 40 && cold < 100);
+    }
+}};
+
 // A cold server gets no more than twice its warming share, whatever is asked, and also when what
 // it was sent has ended again.
 static const Case a_cold_server_has_a_budget{[] {
