--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <iostream>  // its streams must be there before the cases run
 
 #include "net/command_line.h"
 #include "peers_by_hand.h"
