The queue is turned away to its end also past an aborted connection; a bound made exact

Seen on reading the change again: turn_queue_away stopped at the first failed accept, also at one aborted in the queue or a signal, and who stood behind it was reset at the end of the process; accept_some has always gone on there. Not caused in a test of its own (Linux hands such connections out).

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -112,13 +112,14 @@
 
 // Who still stands in the listener's queue has been taken by this machine. False where nobody did.
 bool ClientSide::turn_queue_away() {
-    bool any = false;
-    while (Fd fd{accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)}) {
+    for (bool any = false;;) {
+        Fd fd(accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (!fd && (errno == EINTR || errno == ECONNABORTED)) continue;  // others stand behind it
+        if (!fd) return any;
         counters_.add(Count::conns_taken_in);
         turn_away(std::move(fd));
         any = true;
     }
-    return any;
 }
 
 void ClientSide::make_room(int descriptors) {
--- a/tests/net/test_list_pace.cpp
+++ b/tests/net/test_list_pace.cpp
@@ -59,7 +59,7 @@
 static const Case odd_settings_ask_neither_all_the_time_nor_for_longer_than_a_watch_may{[] {
     for (const Span odd : {Span{1}, seconds(0.5), seconds(4000), Span{}}) {
         ListPace pace(true, odd, 1);
-        assert(pace.watch() >= seconds(1) && pace.watch() <= seconds(60));
+        assert(pace.watch() == seconds(1.5));  // whatever the settings say
         assert(pace.patience(true) >= millis(250) && pace.patience(false) >= millis(250));
     }
 }};
