--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,9 +42,8 @@
 // connections it may go for one; how much larger than its part a home is.
 constexpr double group_work = 4, group_slack = 1.25, group_room = 2, group_spread = 1.3;
 constexpr double pairs_believed = 40;  // of connections, before it is believed how often two are in one group
-// Rule 4: the part of what makes a cold server fall, by its warming share, that a balancer sends it, and what
-// a lost server still counts in the shares for that after a term.
-constexpr double cold_part = 2.0 / 3, weight_kept = 0.9, warmed_part = 0.5;  // the last: of that, first
+// Rule 4: what a lost server still counts in the capacity of each after a term.
+constexpr double weight_kept = 0.9;
 // Other zones: how fast their servers' weight falls with the price of crossing, and to what at the least.
 constexpr double far_cost = 8, far_cost_dear = 15, least_far = 0.02, near_weight = 0.5;
 constexpr double heard_least = 1;  // servers heard of beyond the own, against judging by one or two
@@ -155,17 +154,15 @@
     return Verdict::pass_on;
 }
 
-// Where a cold server's budget is far below one connection, a few of hundreds of balancers are let through by
-// chance (rule 4). Those go there first: were it drawn like all others then, nobody would warm it up.
-int Brain::warmed_first(const Room& room) {
+// Where shares are far below one connection, permits for a cold server go round among hundreds of balancers.
+// Who has one goes there first: were it drawn like all others then, nobody would warm it up.
+int Brain::warmed_first(const Room& room) const {
     int first = -1;
     for (const Share& u : room.fleet.unusual) {
         const Server& s = servers_[u.server];
-        if (!u.open || !cold(room.now, s) || s.cold_sent > 0 || u.share >= room.load) continue;
+        if (!u.open || !cold(room.now, s) || u.share >= room.load) continue;
         if (u.server == room.back_from || is_slow(room, u.server)) continue;
-        const double total = room.fleet.total * warmed_part * s.weight / plain_weight(s);
-        const bool nearer = first < 0 || s.draw < servers_[first].draw;
-        if (nearer && cold_budget_left(room.now, s, room.load, total)) first = u.server;
+        if (first < 0 || s.draw < servers_[first].draw) first = u.server;
     }
     return first;
 }
@@ -319,7 +316,7 @@
     call.legs.push_back(Leg{call.chosen, now, true, false});
     ++s.setting_up;
     ++s.sent_in_term;
-    if (cold(now, s)) s.cold_sent += load_of(call);
+    if (cold(now, s)) s.permits.spend();
     count(s, call);
     out_.send_leg(call.id, s.listed.server, patience);
     return Verdict::pass_on;
@@ -408,15 +405,16 @@
     }));
 }
 
-// Rule 4: what falls is a server that is sent several times the load that it can carry while cold, so every
-// balancer keeps what it has sent there since the start, ended or not, under its own share of the server as
-// it warms. Where that is far below one connection, the first one is let through by chance: hundreds of
-// balancers that hear of the server at once add up to its share, and most of them send nothing.
-bool Brain::cold_budget_left(Instant now, const Server& s, double load, double total) const {
+// Rule 4: what falls is a server that is sent several times what it can do while cold. What all may send it
+// follows from what it can carry warm: its part of what the settings say of the fleet, all zones alike, else
+// of what all hold if they hold as much as this balancer does.
+bool Brain::cold_budget_left(Instant now, Server& s, double load) {
     if (!cold(now, s)) return true;
-    const double part = plain_weight(s) / usual_weight_;  // all zones alike, as its budget is one for all
-    const double budget = total * part * ramp(now, s) * cold_part * told_.fall_multiple;
-    return s.cold_sent + load * (1 - s.cold_chance) <= budget;
+    const double fleet = told_.quota > 0 ? told_.quota : std::max(load_in(all_), load) * told_.balancers;
+    const warmup::Rule rule{told_.fall_multiple, told_.fall_time, told_.cold_time,
+                            static_cast<int>(told_.slot), told_.balancers};
+    s.permits.turn(now, *s.warm_from, rule, fleet * plain_weight(s) / usual_weight_, s.hash);
+    return s.permits.open(load, rule);
 }
 
 Scope Brain::scope_of(const Call& call) const {
@@ -464,7 +462,7 @@
                 s.listed.condition == Condition::active && k != f.left_out && (!call || in_scope(*call, s));
             const bool ready = counted && (desperate || usable(now, s));
             if (counted) leave(s);
-            const bool open = ready && (!call || cold_budget_left(now, s, load_of(*call), f.total));
+            const bool open = ready && (!call || cold_budget_left(now, s, load_of(*call)));
             const double part = ready ? s.weight * ramp(now, s) * trust(now, s) : 0;
             f.unusual.push_back({k, load_on(s), part, ceiling_of(now, s), ready, open});
             weights += part;
@@ -617,7 +615,7 @@
     --s.setting_up;
     if (it->second.may_have_run < 0) it->second.may_have_run = n;
     // A server that broke all it held and answers again is a new process, cold, before the list says so.
-    if (s.restarted_unlisted) begin_warm_up(now, s);
+    if (s.restarted_unlisted) begin_warm_up(now, now, s);
     s.failures_in_row = 0;
     s.last_kept = now;
     s.skip_until = Instant{};
@@ -743,8 +741,9 @@
 void Brain::start_term(Instant now) {
     judge_term(now);
     // A cold server's part of the calls must not grow as others are lost around it, nor stay small for ever
-    // after the fleet has shrunk.
-    usual_weight_ = std::max(plain_weight_, usual_weight_ * weight_kept);
+    // after the fleet has shrunk; and while new ones take the place of old ones, both are listed for a
+    // moment.
+    usual_weight_ = std::clamp(plain_weight_, usual_weight_ * weight_kept, usual_weight_ / weight_kept);
     out_.set_timer(now + shed_grace, term_sheds);
     out_.set_timer(Instant{(now.ns / term_time.ns + 1) * term_time.ns}, term_begins);
 }
@@ -994,12 +993,14 @@
     for (const Listed& entry : entries) apply_listed(now, entry);
     listed_weight_ = plain_weight_ = 0;
     listed_active_ = 0;
+    double cold_weight = 0;
     for (Server& s : servers_) {
         if (kind != ListKind::partial && s.named_in != lists_) s.listed.condition = Condition::left;
         if (s.listed.condition != Condition::active) continue;
         listed_weight_ += s.weight, plain_weight_ += plain_weight(s), ++listed_active_;
+        if (cold(now, s)) cold_weight += plain_weight(s);
     }
-    usual_weight_ = std::max(usual_weight_, plain_weight_);
+    usual_weight_ = std::max(usual_weight_, lists_ > 1 ? plain_weight_ - cold_weight : plain_weight_);
     draw_servers();
 }
 
@@ -1028,7 +1029,7 @@
         s.hash = hash_of(entry.server);
         weigh(s);
         names_.add(entry.server, it->second);
-        return entry.launched ? begin_warm_up(*entry.launched, s) : void();
+        return entry.launched ? begin_warm_up(now, *entry.launched, s) : void();
     }
     Server& s = servers_[it->second];
     const bool restarted = entry.launched && (!s.listed.launched || *entry.launched > *s.listed.launched);
@@ -1036,7 +1037,7 @@
     s.named_in = lists_;
     weigh(s);
     if (!restarted) return;
-    begin_warm_up(*entry.launched, s);
+    begin_warm_up(now, *entry.launched, s);
     begin_anew(now, s);
 }
 
@@ -1049,12 +1050,11 @@
     s.weight *= std::max(least_far, 1 - (far_cost + far_cost_dear * price) * price);
 }
 
-void Brain::begin_warm_up(Instant from, Server& s) {
+void Brain::begin_warm_up(Instant now, Instant from, Server& s) {
     s.warm_from = from;
     s.restarted_unlisted = false;
     s.ceiling = -1;
-    s.cold_sent = 0;
-    s.cold_chance = chance_.uniform();
+    s.permits.begin(now);
     note_unusual(s);
 }
 
--- a/src/brain.h
+++ b/src/brain.h
@@ -22,6 +22,7 @@
 #include "repeats/repeat_budget.h"
 #include "spread/order.h"
 #include "spread/pool.h"
+#include "warmup/permits.h"
 
 namespace headrouter {
 
@@ -58,7 +59,9 @@
     // The operator's own, off unless switched on: servers in an order by the own number; room pooled over
     // all.
     bool own_order = false, pools = false;
-    double fall_multiple = 3;  // of what a cold server can do, sent to it: it falls over
+    double fall_multiple = 3;     // of what a cold server can do, sent to it
+    Span fall_time = seconds(1);  // within this time: it falls over
+    double quota = 0;             // connections of all tenants, over all balancers; zero where none is told
 };
 
 struct Listed {
@@ -130,11 +133,10 @@
     Instant distrust_at;
     int failures_in_row = 0;
     Instant skip_until, out_until, slow_at, last_kept;
-    double cold_sent = 0;    // load sent since a cold start
-    double cold_chance = 0;  // of its first connection
-    double delay = 0;        // seconds that a message was last told to take here
-    bool mild = false;       // that was little, and no more than before
-    double ceiling = -1;     // load above which messages were told to be slow; negative while none were
+    warmup::Permits permits;  // while it is cold
+    double delay = 0;         // seconds that a message was last told to take here
+    bool mild = false;        // that was little, and no more than before
+    double ceiling = -1;      // load above which messages were told to be slow; negative while none were
     Instant ceiling_at;
     double rounding = 0;  // of the ceiling, by chance
     double draw = 1;      // exponential, mean 1, from a hash of the balancer's own number and the server
@@ -254,10 +256,10 @@
     double ramp(Instant, const Server&) const;
     bool cold(Instant now, const Server& s) const { return ramp(now, s) < 1; }
     bool usable(Instant, const Server&) const;
-    int warmed_first(const Room&);
-    bool cold_budget_left(Instant, const Server&, double load, double total) const;
+    int warmed_first(const Room&) const;
+    bool cold_budget_left(Instant, Server&, double load);
     void weigh(Server&);
-    void begin_warm_up(Instant from, Server&);
+    void begin_warm_up(Instant now, Instant from, Server&);
     double load_of(const Call&) const;
     double load_on(const Server& s) const { return load_in(s.holding); }
     double distrust(Instant, const Server&) const;
--- a/src/capture/module_visits.h
+++ b/src/capture/module_visits.h
@@ -25,6 +25,12 @@
     static void visit_state(A&, Brain&);
     template <class A>
     static void visit_state(A&, spread::Pool&);
+    template <class A>
+    static void visit_state(A& a, warmup::Permits& p) {
+        capture::visit(a, p.heard_), capture::visit(a, p.turned_), capture::visit(a, p.level_),
+            capture::visit(a, p.least_);
+        capture::visit(a, p.next_);
+    }
     template <class A, class List, class Visit>
     static void visit_all(A& a, List& all, Visit each) {
         all.resize(capture::visit_size(a, all.size()));
@@ -125,7 +131,8 @@
         visit(a, s.setting_up);
     visit(a, s.spared), visit(a, s.distrust), visit(a, s.distrust_at), visit(a, s.failures_in_row);
     visit(a, s.skip_until), visit(a, s.out_until), visit(a, s.slow_at), visit(a, s.last_kept);
-    visit(a, s.cold_sent), visit(a, s.cold_chance), visit(a, s.delay), visit(a, s.mild), visit(a, s.ceiling);
+    double unused = 0;  // two figures of before
+    visit(a, unused), visit(a, unused), visit(a, s.delay), visit(a, s.mild), visit(a, s.ceiling);
     visit(a, s.ceiling_at), visit(a, s.rounding), visit(a, s.draw), visit(a, s.sent_in_term);
     visit(a, s.lost_in_term);
     StateAccess::visit_state(a, s.excess);
@@ -212,6 +219,10 @@
     if constexpr (!A::writes)
         if (a.left() == 0) return;
     visit_state(a, b.repeats_.calls_), visit_state(a, b.repeats_.repeats_);
+    if constexpr (!A::writes)
+        if (a.left() == 0) return;
+    visit(a, b.told_.fall_time), visit(a, b.told_.quota);
+    for (Server& s : b.servers_) visit_state(a, s.permits);
 }
 
 }  // namespace headrouter
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -66,6 +66,20 @@
     return all;
 }
 
+// Of all tenants; one without a quota leaves the sum untold.
+double quota(const Json& of_tenants) {
+    double sum = 0;
+    bool told = true;
+    for (const Json& one : of_tenants.GetArray()) {
+        if (one.IsNull()) told = false;
+        if (one.IsNull()) continue;
+        if (!one.IsNumber() || !(one.GetDouble() >= 0 && one.GetDouble() <= 1e9))
+            wrong("tenantQuotaConnections", "a list of numbers from 0 to 1000000000, or null");
+        sum += one.GetDouble();
+    }
+    return told ? sum : 0;
+}
+
 Deployment deployment(const Json& o) {
     Deployment d;
     const Json empty(rapidjson::kObjectType);
@@ -112,6 +126,9 @@
     d.cold_time = span(rules, "coldNs");
     if (find(rules, "fallMultiple")) d.fall_multiple = real(rules, "fallMultiple");
     if (!(d.fall_multiple >= 1 && d.fall_multiple <= 1000)) wrong("fallMultiple", "a number from 1 to 1000");
+    if (find(rules, "fallNs")) d.fall_time = span(rules, "fallNs");
+    if (d.fall_time.ns <= 0) wrong("fallNs", "a time above 0");
+    if (find(domain, "tenantQuotaConnections")) d.quota = quota(array(domain, "tenantQuotaConnections"));
     d.tells_peers = flag_or(ceilings, "peers", false);
     if (find(o, "groupSize")) d.balancers = small(o, "groupSize");
     if (d.balancers < 1 || d.balancers > 4095) wrong("groupSize", "a number of balancers from 1 to 4095");
