Tests that start processes write in a temporary folder that is cleared also when they fail

Need: nine site_test_* folders at the root were left by tests and committed. Site made its folder in the working folder and cleared it in its destructor, which an assert never reaches.

Change: mkdtemp in the system's temporary folder; a small process of the test's own sees the end of a pipe and clears it, whatever ended the test.

--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iostream>  // its streams must be there before the cases run
 
@@ -15,18 +16,40 @@
 
 struct Site : Loop {
     Listener server, agent;
-    std::string listen = free_place(), folder = "site_test_" + std::to_string(getpid());
+    std::string listen = free_place(), folder = temporary_folder();
     std::string meeting = folder + "/headrouter-" + listen + ".sock";
     std::string peers, allowed;  // of the configuration, where messages are permitted
+    std::pair<pid_t, int> cleaner;  // its process, and what tells it that this one is there
     std::vector<pid_t> children;
     std::vector<Peer> watches;  // that wait for news
     uint64_t last_id = 1'000'000'000'000'000;
 
-    Site() { mkdir(folder.c_str(), 0700); }
+    Site() : cleaner(clear_at_the_end(folder)) {}
     ~Site() {
         for (const pid_t child : children) kill(child, SIGKILL), waitpid(child, nullptr, 0);
-        const std::string made = config();
-        unlink(made.c_str()), unlink(meeting.c_str()), rmdir(folder.c_str());
+        close(cleaner.second), waitpid(cleaner.first, nullptr, 0);
+    }
+    static std::string temporary_folder() {
+        std::string name = std::filesystem::temp_directory_path() / "headrouter_test_XXXXXX";
+        assert(mkdtemp(name.data()));
+        return name;
+    }
+    // By a process that sees this one end, so that a test that fails leaves nothing behind either.
+    static std::pair<pid_t, int> clear_at_the_end(const std::string& folder) {
+        int ends[2];
+        assert(pipe2(ends, O_CLOEXEC) == 0);
+        const pid_t child = fork();
+        if (child == 0) {
+            setpgid(0, 0);  // whatever ends the test
+            close(ends[1]);
+            char byte;
+            while (read(ends[0], &byte, 1) > 0 || errno == EINTR) errno = 0;
+            std::error_code ignored;
+            std::filesystem::remove_all(folder, ignored);
+            _exit(0);
+        }
+        close(ends[0]);
+        return {child, ends[1]};
     }
     std::string config() const { return folder + "/config.json"; }
     void write_config(const std::string& ops, const std::string& settings_end = "}]}}") {
@@ -55,6 +78,7 @@
         const pid_t child = fork();
         if (child == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that fails leaves nobody behind
+            close(cleaner.second);
             setenv("PROXY_CONFIG", config().c_str(), 1);
             tmpdir&&* tmpdir ? setenv("TMPDIR", tmpdir, 1) : unsetenv("TMPDIR");
             std::string serve = "serve", level = "--log=error", name = "headrouter";
