--- a/tests/brain/test_scale.cpp
+++ b/tests/brain/test_scale.cpp
@@ -135,3 +135,40 @@
     b.call_arrived(term_start, call(50, term_start));
     assert(w.sent.size() == 1 && w.sent[0].server != "a");
 }};
+
+// 1,100 servers and as many balancers, half of the servers cold, messages permitted: every server is used by
+// somebody, and the words of the last balancer are understood.
+static const Case over_a_thousand_servers_and_balancers{[] {
+    constexpr int many = 1100;
+    std::vector<Listed> list;
+    for (int k = 0; k < many; ++k) {
+        list.push_back(listed("s-" + std::to_string(k)));
+        if (k % 2) list.back().launched = term_start - seconds(4);
+    }
+    std::map<ServerId, int> calls;
+    for (uint64_t slot = 0; slot < many; slot += 10) {
+        Deployment d = numbered(slot);
+        d.balancers = many, d.tells_peers = true, d.quota = 20.0 * many;
+        auto&& [w, b, p] = Rig(list, d);
+        for (CallId id = 1; id <= 30; ++id) {
+            const Instant now = term_start + seconds(2) + millis(static_cast<double>(id));
+            b.call_arrived(now, call(id, now));
+            assert(w.sent.size() == id && w.rejected.empty());
+            ++calls[w.sent.back().server];
+        }
+        if (slot == 0) {
+            Deployment last = d;
+            last.slot = many - 1;
+            auto&& [written, other, peek] = Rig(list, last);
+            stand(other, term_start, "s-1099", 1, 3);
+            for (const auto& [at, token] : peek.due(written))
+                other.timer_rang(std::max(at, term_start), token);
+            assert(!written.told.empty());
+            for (const auto& [to, bytes] : written.told)
+                assert(bytes.size() <= 256 && b.peer_told(term_start + seconds(3), many - 1, bytes));
+        }
+    }
+    size_t cold = 0;
+    for (const auto& [id, n] : calls) cold += (id.back() - '0') % 2;
+    assert(calls.size() > many / 2 && cold > many / 5);
+}};
