What does not hold counts only where a balancer holds fewer connections than servers

At fault: HoldingPart. Connections taken over at the start counted as fresh when they broke, but not as set up, so every client that came back was given up; and with ten connections a server the ceilings (departure 3) already tell which one not to use.

Change: departure 15 acts where the balancer's load is under one connection a server, and what it takes over counts as set up then.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -144,7 +144,8 @@
     const bool back_in_pause = note && !note->parked && in_pause(now);
     const Room room{now, call, fleet, load, back_in_pause ? note->server : -1, pool_trust(now)};
     if ((call.chosen = warmed_first(room)) >= 0) return Verdict::pass_on;
-    if (call.again && chance_.uniform() < holding_.broken(now)) return Verdict::end;  // departure 15
+    const bool blind = fleet.total < listed_active_;  // departure 15
+    if (blind && call.again && chance_.uniform() < holding_.broken(now)) return Verdict::end;
     if (draw_name_of(call).empty())
         place_alone(room, call);
     else
@@ -168,9 +169,8 @@
     return first;
 }
 
-// Random among the servers below share, else the least over (design 3). A share under one connection is below
-// share for a whole one only by chance: the draw from the balancer's own number and the server's, which keeps
-// the sum over all balancers right and each to the servers that rank highest for it.
+// Random among the servers below share, else the least over (design 3). A share under one is below it for
+// a whole connection by chance: the draw of the own number and the server's keeps the sum over all right.
 void Brain::place_alone(const Room& room, Call& call) {
     const int n = static_cast<int>(servers_.size());
     for (int tries = 0; told_.pools && !call.again && room.back_from < 0 && tries < pool_tries; ++tries) {
@@ -407,8 +407,7 @@
     }));
 }
 
-// Rule 4: what all may send a cold server follows from what it can carry warm, its part of what the settings
-// say of the fleet, all zones alike, else of what all hold if they hold as much as this balancer does.
+// Rule 4, by what a server carries warm: its part of what is told of the fleet, else of what all may hold.
 bool Brain::cold_budget_left(Instant now, Server& s, double load) {
     if (!cold(now, s)) return true;
     const double fleet = told_.quota > 0 ? told_.quota : std::max(load_in(all_), load) * told_.balancers;
@@ -591,6 +590,7 @@
     Call& kept = calls_[call.id] = std::move(call);
     kept.legs.push_back(Leg{index_.at(server), now, false, true});
     kept.may_have_run = 0;
+    holding_.stood(now);
     count(servers_[kept.legs[0].server], kept);
     if (told_.tells_peers && !kept.group.empty()) note_placed(now, kept.group, kept.legs[0].server);
 }
