The test of an outdated list answers its client, or its server is left as silent

Cause, in the test: the line that shows that who stands stays was never answered, so by the time the list came the balancer had rightly left the only server for its silence. Change: the stand-in answers.

--- a/tests/net/test_endings.cpp
+++ b/tests/net/test_endings.cpp
@@ -230,17 +230,18 @@
         while (Clock::now() - told < seconds(6.1)) serve_list();
         Peer late = w.client();
         if (!turns_away) {
-            server = w.taken();
+            Peer next = w.taken();
             continue;
         }
         assert(w.says(late, "BUSY") && w.ends(late));
         assert(w.count(Count::refused_for_outdated_list) == 1 && w.count(Count::legs_sent) == 1);
         early.write("still here\r\n");  // who stands stays
         assert(w.says(server, "still here\r\n"));
+        server.write("heard\r\n");  // a server that says nothing would be left for that
         answers = true;
         while (w.count(Count::lists_told) < 2 && Clock::now() - told < seconds(40)) serve_list();
         assert(w.count(Count::lists_told) == 2);
         Peer again = w.client();
-        server = w.taken();
+        Peer next = w.taken();
     }
 }};
