--- a/tests/brain/test_rules.cpp
+++ b/tests/brain/test_rules.cpp
@@ -209,3 +209,32 @@
     b.call_arrived(term_start + seconds(6), back);  // no longer held there
     assert(w.sent.at(1).server != "c");
 }};
+
+// Nine of ten fresh set-ups broke at once: most that come back are given up, new calls are not, and neither
+// is anyone where the balancer holds more connections than there are servers, or where what broke had stood
+// long.
+static const Case who_comes_back_is_given_up_where_set_ups_do_not_hold{[] {
+    const auto given_up = [](bool again, int held, Span stood) {
+        auto&& [w, b, p] = Rig(some_servers(20));
+        for (int k = 0; k < held; ++k)
+            stand(b, term_start, ServerId(1, static_cast<char>('A' + k % 20)), 500 + k, 1);
+        for (CallId id = 1; id <= 10; ++id) {
+            b.call_arrived(term_start, call(id, term_start));
+            b.leg_stands(term_start, id, 0, {});
+        }
+        const Instant now = term_start + stood;
+        for (CallId id = 1; id <= 9; ++id) b.leg_ended(now, id, 0, Ending::reset, {}, true, {});
+        const Instant later = now + seconds(4);
+        for (CallId id = 100; id < 200; ++id) {
+            Call c = call(id, later);
+            c.again = again;
+            b.call_arrived(later, c);
+            b.call_gone(later, id);
+        }
+        return w.rejected.size();
+    };
+    assert(given_up(true, 0, millis(200)) > 60);
+    assert(given_up(false, 0, millis(200)) == 0);
+    assert(given_up(true, 60, millis(200)) == 0);
+    assert(given_up(true, 0, seconds(20)) == 0);
+}};
