--- a/src/downstream/client_log.cpp
+++ b/src/downstream/client_log.cpp
@@ -2,16 +2,13 @@
 
 #include <utility>
 
+#include "downstream/request_line_deadline.h"
 #include "transport/line_text.h"
 
 namespace headrouter {
 
 namespace {
 
-// The clients' protocol: who sends no request, or only a part of one, is owed an error or the end of its
-// connection within this time.
-constexpr Duration owed_within = seconds(3);
-
 constexpr int max_dismissals_logged_per_second = 5;
 constexpr int64_t ns_per_ms = 1'000'000;
 
@@ -28,7 +25,8 @@
 }
 
 bool is_overdue(const Client& client, TimePoint now) {
-    return client.connection->has_partial_line() && now - client.line_started_at > owed_within;
+    return client.connection->has_partial_line() &&
+           now - client.line_started_at > unfinished_request_owed_within;
 }
 
 }  // namespace
--- a/src/downstream/downstream.cpp
+++ b/src/downstream/downstream.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "downstream/reply_lines.h"
+#include "downstream/request_line_deadline.h"
 #include "transport/clock.h"
 #include "transport/line_text.h"
 
@@ -114,8 +115,13 @@
 
 void Downstream::close_idle(TimePoint now) {
     for (const RequestId id : idle_clients_.expired(now)) {
+        // What has come in the meantime is read first: it may be the rest of the line.
+        poll_now(id);
+        const Client* const client = find(id);
+        const bool awaits_request = client && client->stage == ClientStage::awaiting_request;
+        if (!awaits_request || !IdleClients::is_expired(*client, now)) continue;
         counters_.add(Counter::clients_silent);
-        const bool has_begun = clients_.at(id).connection->has_partial_line();
+        const bool has_begun = client->connection->has_partial_line();
         dismiss(id, has_begun ? DismissalReason::unfinished_line : DismissalReason::silent, error_reply);
     }
 }
@@ -183,7 +189,7 @@
     Client& client = clients_.at(connection.id());
     if (client.stage != ClientStage::awaiting_request) return;
     const TimePoint now = Clock::now();
-    if (client.has_probed) client.line_started_at = now;
+    client.line_started_at = request_line_start(client.connected_at, now);
     client_log_.on_line_begun(client, now);
 }
 
--- a/src/downstream/idle_clients.cpp
+++ b/src/downstream/idle_clients.cpp
@@ -1,22 +1,19 @@
 #include "downstream/idle_clients.h"
 
+#include "downstream/request_line_deadline.h"
+
 namespace headrouter {
 
 namespace {
-// A client says at once what it wants.
-constexpr Duration max_silence = seconds(1.5);
-
-// A prober may keep its connection for the next PING, but hundreds of them that probe once and stay would use
-// up what requests need.
-constexpr Duration max_silence_after_probe = seconds(5);
 
-// Some write their line bit by bit, over two seconds.
-constexpr Duration max_line_time = seconds(3.5);
-
-Duration time_limit(const Client& client) {
-    if (client.connection->has_partial_line()) return max_line_time;
-    return client.has_probed ? max_silence_after_probe : max_silence;
+RequestLineProgress progress_of(const Client& client) {
+    return {.connected_at = client.connected_at,
+            .idle_since = client.idle_since,
+            .line_started_at = client.line_started_at,
+            .has_probed = client.has_probed,
+            .has_partial_line = client.connection->has_partial_line()};
 }
+
 }  // namespace
 
 void IdleClients::add(Client& client) { client.idle_position = clients_.insert(clients_.end(), &client); }
@@ -40,12 +37,14 @@
     return nullptr;
 }
 
+bool IdleClients::is_expired(const Client& client, TimePoint now) {
+    return now > request_line_deadline(progress_of(client));
+}
+
 std::vector<RequestId> IdleClients::expired(TimePoint now) const {
     std::vector<RequestId> ids;
-    for (const Client* const client : clients_) {
-        const bool is_over = now - client->idle_since > time_limit(*client);
-        if (is_over && !client->connection->has_unread_bytes()) ids.push_back(client->connection->id());
-    }
+    for (const Client* const client : clients_)
+        if (is_expired(*client, now)) ids.push_back(client->connection->id());
     return ids;
 }
 
--- a/src/downstream/idle_clients.h
+++ b/src/downstream/idle_clients.h
@@ -31,7 +31,11 @@
     /// null where each is within its grace. One with unread bytes in the kernel is never chosen.
     Client* find_evictable(TimePoint now, const Grace&) const;
 
-    /// Those whose time is over, the oldest first.
+    /// Whether the client's time for its request line is over. What still waits in the kernel is not known
+    /// here.
+    static bool is_expired(const Client&, TimePoint now);
+
+    /// Those of which `is_expired` holds, the oldest first.
     std::vector<RequestId> expired(TimePoint now) const;
 
     /// Those of which no byte has come, not even to the kernel, the oldest first.
