Hot restart: one limit for the whole exchange, not half a second anew for each step

Change: begin_exchange() sets one deadline of 1 s for all steps, on either side; beyond, both serve side by side as after any failed hand-over.

--- a/src/hot_restart/hot_restart_channel.cpp
+++ b/src/hot_restart/hot_restart_channel.cpp
@@ -22,6 +22,10 @@
 // wait.
 constexpr Duration step_timeout = millis(500);
 
+// For all steps together: many that are each in time must not hold up a process that serves, or one that is
+// to.
+constexpr Duration exchange_timeout = seconds(1);
+
 // The greeting with a version's name is the longest text beside a part of the state.
 constexpr size_t receive_buffer_bytes = HotRestartChannel::max_body_bytes + 64;
 
@@ -96,6 +100,12 @@
     return getsockopt(socket_.get(), SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 && peer.uid == geteuid();
 }
 
+void HotRestartChannel::begin_exchange() { exchange_deadline_ = Clock::now() + exchange_timeout; }
+
+TimePoint HotRestartChannel::step_deadline() const {
+    return std::min(Clock::now() + step_timeout, exchange_deadline_);
+}
+
 void HotRestartChannel::send(HotRestartMessageType type, std::string_view body,
                              std::span<const int> descriptors) {
     std::string text(1, static_cast<char>(type));
@@ -116,7 +126,7 @@
     message.msg_iovlen = 1;
     ControlBuffer control;
     if (!descriptors.empty()) attach(message, control, descriptors);
-    const TimePoint deadline = Clock::now() + step_timeout;
+    const TimePoint deadline = step_deadline();
     while (wait_until_ready(socket_.get(), POLLOUT, deadline)) {
         if (sendmsg(socket_.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0) return;
         const bool may_pass = errno == EAGAIN || errno == EINTR || errno == ENOBUFS;
@@ -150,7 +160,7 @@
 }
 
 HotRestartMessage HotRestartChannel::wait_for_message() {
-    if (!wait_until_ready(socket_.get(), POLLIN, Clock::now() + step_timeout))
+    if (!wait_until_ready(socket_.get(), POLLIN, step_deadline()))
         throw HotRestartError("the other process says nothing");
     HotRestartMessage message = receive();
     if (message.is_end()) throw HotRestartError("the other process is gone");
--- a/src/hot_restart/hot_restart_channel.h
+++ b/src/hot_restart/hot_restart_channel.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/time.h"
 #include "hot_restart/hot_restart_error.h"
 #include "transport/socket.h"
 
@@ -65,6 +66,10 @@
     /// not let them take the clients.
     [[nodiscard]] bool is_own_user() const;
 
+    /// From now on all that is sent and waited for has to be over within exchange_timeout. To be called
+    /// before the first of it.
+    void begin_exchange();
+
     /// Waits for room, for step_timeout at most. Throws HotRestartError where the other side does not read or
     /// is gone.
     void send(HotRestartMessageType type, std::string_view body = {}, std::span<const int> descriptors = {});
@@ -86,7 +91,10 @@
    private:
     void send_text(std::string text, std::span<const int> descriptors);
 
+    [[nodiscard]] TimePoint step_deadline() const;
+
     Fd socket_;
+    TimePoint exchange_deadline_;
 };
 
 /// Where the balancer that listens on `listen` (HOST:PORT) expects the next process; empty where `folder` is
--- a/src/hot_restart/hot_restart_child.cpp
+++ b/src/hot_restart/hot_restart_child.cpp
@@ -20,6 +20,7 @@
     if (!channel.is_open()) return nullptr;
     try {
         if (!channel.is_own_user()) throw HotRestartError("the other process is another user's");
+        channel.begin_exchange();
         channel.send_greeting(hot_restart::state_version.name);
         std::unique_ptr<HotRestartChild> child(new HotRestartChild(std::move(channel)));
         child->receive_all();
--- a/src/hot_restart/hot_restart_parent.cpp
+++ b/src/hot_restart/hot_restart_parent.cpp
@@ -83,6 +83,7 @@
 
 // Nothing is released before the child has said that it has everything: until then this process can go on.
 void HotRestartParent::hand_over(bool with_state) {
+    child_.begin_exchange();
     const int listener = callbacks_.listener();
     child_.send(HotRestartMessageType::listener, {}, {&listener, 1});
     if (with_state) send_state();
--- a/tests/hot_restart/test_hot_restart.cpp
+++ b/tests/hot_restart/test_hot_restart.cpp
@@ -157,6 +157,22 @@
     EXPECT_EQ(WEXITSTATUS(status), 0);
 }
 
+// Each piece comes in time, and there is always another one: the new process must not wait for ever.
+TEST(HotRestart, AnOldProcessThatSendsItsStateInDropsDoesNotHoldUpTheNewOne) {
+    Site w;
+    const Fd door = w.door();
+    const auto next = w.launch();
+    Peer old = w.heir_at(door);
+    const TimePoint began = Clock::now();
+    while (!old.ended && !old.broke && Clock::now() - began < seconds(4)) {
+        old.write("pa");
+        w.turn(0.3);
+        old.read();
+    }
+    EXPECT_LT(to_seconds(Clock::now() - began), 1.5);
+    EXPECT_TRUE(w.until([&] { return w.ask(next, "STATUS") == "done\r\n"; }));
+}
+
 TEST(HotRestart, TwoProcessesShareTheDescriptors) {
     Site w;
     const Fd door = w.door();
