Failing system calls and stepped wall clocks as faults of real processes; tests failing

A library of our own (lab/testbed/failing_calls*), loaded into a process of the program: accept4, socket, connect, recv, recvmsg, send, sendmsg, epoll_wait, open, write (files), fsync, rename fail by a seeded schedule, or transfer one byte, as a mapped table says that the test switches under way; an interrupted connect goes on. A missing or short table: a line, exit code 2. The library of wall clocks was there.

--- a/tests/proxy/fake_site.h
+++ b/tests/proxy/fake_site.h
@@ -23,6 +23,8 @@
     std::vector<pid_t> children;
     std::vector<Peer> watches;  // that wait for news
     uint64_t last_id = 1'000'000'000'000'000;
+    std::string executable;  // where empty, a copy of this process serves
+    std::vector<std::pair<std::string, std::string>> environment;
 
     Site() : cleaner(clear_at_the_end(folder)) {}
     Site(const Site&) = delete;
@@ -83,6 +85,8 @@
             close(cleaner.second);
             setenv("PROXY_CONFIG", config().c_str(), 1);
             tmpdir&&* tmpdir ? setenv("TMPDIR", tmpdir, 1) : unsetenv("TMPDIR");
+            for (const auto& [variable, value] : environment) setenv(variable.c_str(), value.c_str(), 1);
+            if (!executable.empty()) execl(executable.c_str(), "headrouter", "serve", "--log=error", nullptr);
             std::string serve = "serve", level = "--log=error", name = "headrouter";
             char* args[] = {name.data(), serve.data(), level.data(), nullptr};
             _exit(command_line(3, args));
--- /dev/null
+++ b/tests/proxy/test_system_faults.cpp
@@ -0,0 +1,229 @@
+// A process of the program whose calls of the system fail, and whose wall clock is stepped, while it serves.
+#include <cerrno>
+#include <cstring>
+
+#include "proxy/fake_site.h"
+#include "testbed/failing_calls.h"
+
+namespace {
+
+using testbed::FailingCalls;
+using testbed::SystemCall;
+
+std::string built(const std::string& name) { return std::string(BUILD) + "/" + name; }
+
+size_t open_descriptors(pid_t process) {
+    size_t count = 0;
+    const std::string folder = "/proc/" + std::to_string(process) + "/fd";
+    for (const auto& entry : std::filesystem::directory_iterator(folder))
+        count += entry.path().empty() ? 0 : 1;
+    return count;
+}
+
+// Seconds of processor time that a process has used.
+double cpu_seconds(pid_t process) {
+    std::ifstream stat("/proc/" + std::to_string(process) + "/stat");
+    std::string word;
+    constexpr int user_time_field = 14;
+    for (int field = 1; field < user_time_field; ++field) stat >> word;
+    double user_ticks = 0, system_ticks = 0;
+    stat >> user_ticks >> system_ticks;
+    return (user_ticks + system_ticks) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+// A site whose program has the library of failing calls loaded.
+struct FaultySite : Site {
+    FailingCalls calls{folder + "/calls", 7};
+    Program running;
+
+    FaultySite() {
+        executable = built("headrouter");
+        environment = calls.environment(built("libheadrouter_failing_calls.so"));
+        running = start();
+        fcntl(server.fd.get(), F_SETFL, O_NONBLOCK);
+    }
+
+    bool is_served(Peer& client) {
+        Peer at_server = taken();
+        at_server.write("UP r\r\n");
+        return says(client, "UP r\r\n");
+    }
+
+    bool is_answered(Peer& client) {
+        return until([&] { return client.read(), client.ended || client.broke || !client.got.empty(); });
+    }
+};
+
+// The wall clock of a process, as the library headrouter_clock reads it.
+class WallClock {
+   public:
+    explicit WallClock(std::string path) : path_(std::move(path)) { step({}); }
+
+    // In place: the process has the file mapped.
+    void step(Duration ahead) const {
+        const int file = open(path_.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+        EXPECT_EQ(pwrite(file, &ahead.ns, sizeof ahead.ns, 0), static_cast<ssize_t>(sizeof ahead.ns));
+        close(file);
+    }
+
+    std::vector<std::pair<std::string, std::string>> environment() const {
+        return {{"LD_PRELOAD", built("libheadrouter_clock.so")}, {"HEADROUTER_CLOCK", path_}};
+    }
+
+   private:
+    std::string path_;
+};
+
+}  // namespace
+
+// They got their last line and stay; two seconds later their descriptors are free again, whatever the wall
+// clock says.
+TEST(SystemFaults, ConnectionsThatLingerGoInTimeWhenTheWallClockIsSteppedBack) {
+    Site site;
+    const WallClock clock(site.folder + "/clock");
+    site.executable = built("headrouter");
+    site.environment = clock.environment();
+    const Site::Program running = site.start();
+    const size_t before = open_descriptors(running.pid);
+    std::vector<Peer> clients;
+    for (int count = 0; count < 6; ++count) {
+        clients.push_back(dial(site.listen));
+        clients.back().write("no request\r\n");
+    }
+    for (Peer& client : clients) EXPECT_TRUE(site.says(client, "ERR\r\n"));
+    clock.step(seconds(-3600));
+    site.turn(2);
+    site.turn(1);
+    EXPECT_LE(open_descriptors(running.pid), before);
+}
+
+// Forward: they are not cut before their peers have had the time to read.
+TEST(SystemFaults, ConnectionsThatLingerKeepTheirTimeWhenTheWallClockIsSteppedForward) {
+    Site site;
+    const WallClock clock(site.folder + "/clock");
+    site.executable = built("headrouter");
+    site.environment = clock.environment();
+    const Site::Program running = site.start();
+    const size_t before = open_descriptors(running.pid);
+    Peer client = dial(site.listen);
+    client.write("no request\r\n");
+    EXPECT_TRUE(site.says(client, "ERR\r\n"));
+    clock.step(seconds(3600));
+    site.turn(0.6);
+    EXPECT_GT(open_descriptors(running.pid), before);
+}
+
+// The client waits in the queue meanwhile, and the process does not spin on it.
+TEST(SystemFaults, AClientIsServedAfterAcceptHasFailedForAWhile) {
+    for (const int error :
+         {ECONNABORTED, EPROTO, ENETUNREACH, EHOSTUNREACH, EINTR, ENFILE, EMFILE, ENOBUFS, ENOMEM}) {
+        FaultySite site;
+        site.calls.fail(SystemCall::accept, error);
+        const double cpu_before = cpu_seconds(site.running.pid);
+        Peer client = site.client();
+        site.turn(0.4);
+        EXPECT_LT(cpu_seconds(site.running.pid) - cpu_before, 0.15) << std::strerror(error);
+        EXPECT_GT(site.calls.injected(SystemCall::accept), 0U);
+        site.calls.stop(SystemCall::accept);
+        EXPECT_TRUE(site.is_served(client)) << std::strerror(error);
+    }
+}
+
+// It goes on by itself: the connection comes up.
+TEST(SystemFaults, AnInterruptedConnectIsNoFailure) {
+    FaultySite site;
+    site.calls.fail(SystemCall::connect, EINTR);
+    Peer client = site.client();
+    EXPECT_TRUE(site.is_served(client));
+    EXPECT_GT(site.calls.injected(SystemCall::connect), 0U);
+}
+
+// What this machine is short of says nothing about the server: the next client is served at once.
+TEST(SystemFaults, AServerIsNotPenalizedForWhatThisMachineLacks) {
+    const std::pair<SystemCall, int> faults[] = {
+        {SystemCall::socket, ENFILE},         {SystemCall::socket, EMFILE},
+        {SystemCall::socket, ENOBUFS},        {SystemCall::socket, ENOMEM},
+        {SystemCall::connect, EADDRNOTAVAIL}, {SystemCall::connect, ENETUNREACH},
+        {SystemCall::connect, ENETDOWN},      {SystemCall::connect, EAGAIN},
+        {SystemCall::connect, ENOBUFS},       {SystemCall::connect, EPERM}};
+    for (const auto& [call, error] : faults) {
+        FaultySite site;
+        site.calls.fail(call, error);
+        std::vector<Peer> clients;
+        for (int count = 0; count < 8; ++count) clients.push_back(site.client());
+        for (Peer& client : clients) EXPECT_TRUE(site.is_answered(client)) << std::strerror(error);
+        // Two attempts a request at the most, and a few calls of discovery's.
+        EXPECT_LT(site.calls.injected(call), 60U) << std::strerror(error);
+        site.calls.stop(call);
+        Peer next = site.client();
+        EXPECT_TRUE(site.is_served(next)) << std::strerror(error);
+    }
+}
+
+TEST(SystemFaults, LinesGoOnThroughInterruptedAndShortTransfers) {
+    FaultySite site;
+    auto pair = site.standing();
+    for (const int32_t error : {EINTR, EAGAIN, testbed::short_transfer}) {
+        for (const SystemCall call : {SystemCall::receive, SystemCall::send, SystemCall::wait})
+            if (call != SystemCall::wait || error == EINTR) site.calls.fail(call, error, 0.5);
+        for (int count = 0; count < 10; ++count) site.carries(pair, "line " + std::to_string(count) + "\r\n");
+        for (const SystemCall call : {SystemCall::receive, SystemCall::send, SystemCall::wait})
+            site.calls.stop(call);
+    }
+    for (const int32_t error : {ENOBUFS, ENOMEM}) {
+        site.calls.fail(SystemCall::send, error, 0.5);
+        for (int count = 0; count < 10; ++count) site.carries(pair, "more " + std::to_string(count) + "\r\n");
+        site.calls.stop(SystemCall::send);
+    }
+    EXPECT_GT(site.calls.injected(SystemCall::receive), 0U);
+    EXPECT_GT(site.calls.injected(SystemCall::send), 0U);
+}
+
+// A connection breaks with an error that is not ECONNRESET.
+TEST(SystemFaults, ABrokenConnectionEndsItsClientsWhateverTheError) {
+    for (const int32_t error : {ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNRESET, EPIPE}) {
+        FaultySite site;
+        auto pair = site.standing();
+        site.calls.fail(SystemCall::receive, error);
+        pair.second.write("a line\r\n");
+        site.turn(0.1);
+        site.calls.stop(SystemCall::receive);
+        EXPECT_TRUE(site.until([&] { return pair.first.read(), pair.first.ended || pair.first.broke; }))
+            << std::strerror(error);
+    }
+}
+
+// The queue cannot be taken in at the very end: who waits there is answered once it can.
+TEST(SystemFaults, WhoWaitsInTheQueueOfAProcessThatEndsIsAnsweredAfterAcceptFailed) {
+    for (const int error : {ENFILE, ENOBUFS, ENOMEM, ECONNABORTED}) {
+        FaultySite site;
+        site.calls.fail(SystemCall::accept, error);
+        Peer client = site.client();
+        site.turn(0.05);
+        kill(site.running.pid, SIGTERM);
+        site.turn(0.7);
+        site.calls.stop(SystemCall::accept);
+        EXPECT_TRUE(site.is_answered(client)) << std::strerror(error);
+        EXPECT_EQ(client.got, "BUSY\r\n") << std::strerror(error);
+    }
+}
+
+// Without its table, or with one of another size, the library refuses.
+TEST(SystemFaults, TheLibraryRefusesATableThatIsNone) {
+    Site site;
+    site.executable = built("headrouter");
+    std::ofstream(site.folder + "/short") << "short";
+    for (const char* name : {"/nowhere", "/short"}) {
+        site.environment = {{"LD_PRELOAD", built("libheadrouter_failing_calls.so")},
+                            {testbed::failing_calls_variable, site.folder + name}};
+        int status = -1;
+        EXPECT_TRUE(site.exits(site.launch().pid, status));
+        EXPECT_TRUE(WIFEXITED(status));
+        EXPECT_EQ(WEXITSTATUS(status), 2);
+    }
+}
+
+TEST(SystemFaults, TheLibrariesAreThere) {
+    for (const char* name : {"libheadrouter_failing_calls.so", "libheadrouter_clock.so", "headrouter"})
+        EXPECT_EQ(access(built(name).c_str(), R_OK), 0) << built(name) << " was not built";
+}
