One table of errnos for sockets; accept does not spin; lingering by the steady clock

Causes: lingering_closer.cpp took ev_now, the wall clock; client_listener.cpp and admin_server.cpp returned to the loop after a failed accept, which reported the socket again at once; accept_backlog took any error for an empty queue; connect_to took EINTR for a failure; six places had tables of their own; a hot restart took EAGAIN of recvmsg for the other process's death.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,8 +1,10 @@
 #include "admin/admin_server.h"
 
 #include <algorithm>
+#include <cerrno>
 
 #include "transport/clock.h"
+#include "transport/socket_error.h"
 
 namespace headrouter::admin {
 
@@ -12,6 +14,8 @@
 constexpr Duration command_timeout = seconds(1.5);
 // Accepted in one turn of the loop, so that a crowd here does not hold up the balancer's clients.
 constexpr int accepts_per_turn = 8;
+// Before it is tried again to accept where the machine lacks something for it.
+constexpr Duration pause_after_failure = millis(20);
 constexpr size_t max_waiting = AdminServer::max_connections / 2;
 
 }  // namespace
@@ -23,7 +27,8 @@
       closer_(loop),
       // before all connections of clients and servers
       accept_watcher_(
-          loop, [this](int /*ready_events*/) { accept_pending(); }, EV_MAXPRI) {
+          loop, [this](int /*ready_events*/) { accept_pending(); }, EV_MAXPRI),
+      accept_retry_(loop, [this] { accept_watcher_.start(listener_.get(), EV_READ); }) {
     closer_.set_limit(max_connections - max_waiting);
 }
 
@@ -35,7 +40,14 @@
 void AdminServer::accept_pending() {
     for (int accepted = 0; accepted < accepts_per_turn; ++accepted) {
         Fd fd(accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (!fd) return;
+        if (!fd) {
+            const AcceptError error = classify_accept_error(errno);
+            if (error == AcceptError::queue_empty) return;
+            if (error == AcceptError::one_connection) continue;
+            // The loop would report the socket again at once.
+            accept_watcher_.stop();
+            return accept_retry_.start_once(pause_after_failure);
+        }
         disable_nagle(fd.get());
         if (clients_.size() >= max_waiting) drop_oldest_client();
         add_client(std::move(fd));
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -47,6 +47,7 @@
     LingeringCloser closer_;
     Fd listener_;
     IoWatcher accept_watcher_;
+    TimerWatcher accept_retry_;
     std::list<Client> clients_;  // the oldest first
 };
 
--- a/src/discovery/http_client.cpp
+++ b/src/discovery/http_client.cpp
@@ -6,14 +6,14 @@
 #include <cerrno>
 #include <utility>
 
+#include "transport/socket_error.h"
+
 namespace headrouter {
 
 namespace {
 
 constexpr size_t receive_bytes = size_t{16} * 1024;
 
-bool is_transient(int error) { return error == EAGAIN || error == EINTR || error == ENOMEM; }
-
 }  // namespace
 
 std::string_view describe(HttpError error) {
@@ -67,7 +67,7 @@
 /// Whether the connection still works.
 bool HttpClient::send_pending() {
     const ssize_t sent = ::send(fd_.get(), unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
-    if (sent < 0 && !is_transient(errno) && errno != ENOBUFS) return false;
+    if (sent < 0 && !is_transient_send_error(errno)) return false;
     if (sent > 0) unsent_.erase(0, static_cast<size_t>(sent));
     if (unsent_.empty()) io_watcher_.start(fd_.get(), EV_READ);
     return true;
@@ -76,7 +76,7 @@
 void HttpClient::receive() {
     std::array<char, receive_bytes> buffer;  // NOLINT(cppcoreguidelines-pro-type-member-init): recv fills it
     const ssize_t received = recv(fd_.get(), buffer.data(), buffer.size(), 0);
-    if (received < 0 && is_transient(errno)) return;
+    if (received < 0 && is_transient_receive_error(errno)) return;
     const bool has_bytes = received > 0;
     if (!is_waiting_) {
         // The end of an idle connection is no error: the next request makes a new one.
--- a/src/downstream/client_listener.cpp
+++ b/src/downstream/client_listener.cpp
@@ -6,6 +6,8 @@
 #include <cerrno>
 #include <utility>
 
+#include "transport/socket_error.h"
+
 namespace headrouter {
 
 namespace {
@@ -14,10 +16,8 @@
 
 FileDescriptor open_spare_descriptor() { return FileDescriptor(::open("/dev/null", O_RDONLY | O_CLOEXEC)); }
 
-// The connection itself has failed; others may wait behind it.
-bool is_error_of_one_connection(int error) { return error == EINTR || error == ECONNABORTED; }
-
-bool is_queue_empty(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
+// While clients wait and cannot be accepted, the loop would report the socket again at once.
+constexpr Duration pause_after_failure = millis(20);
 }  // namespace
 
 ClientListener::ClientListener(struct ev_loop* loop, Counters& counters, Handler on_accepted,
@@ -26,7 +26,8 @@
       on_accepted_(std::move(on_accepted)),
       on_exhausted_(std::move(on_exhausted)),
       spare_(open_spare_descriptor()),
-      watcher_(loop, [this](int) { accept_batch(); }) {}
+      watcher_(loop, [this](int) { accept_batch(); }),
+      retry_timer_(loop, [this] { update_watcher(); }) {}
 
 void ClientListener::open(FileDescriptor socket) {
     watcher_.stop();
@@ -35,22 +36,41 @@
 }
 
 void ClientListener::pause(bool paused) {
-    if (paused)
+    is_paused_ = paused;
+    retry_timer_.stop();
+    update_watcher();
+}
+
+void ClientListener::update_watcher() {
+    if (is_paused_)
         watcher_.stop();
     else
         watcher_.start(socket_.get(), EV_READ);
 }
 
+void ClientListener::retry_later() {
+    watcher_.stop();
+    if (!is_paused_) retry_timer_.start_once(pause_after_failure);
+}
+
 bool ClientListener::accept_backlog(const Handler& handler) {
-    bool accepted_any = false;
-    while (true) {
+    bool had_clients = false;
+    int failures = 0;
+    while (failures < max_accepts_per_event) {
         FileDescriptor client = accept_one();
-        if (!client && is_error_of_one_connection(errno)) continue;
-        if (!client) return accepted_any;
+        if (!client) {
+            const AcceptError error = classify_accept_error(errno);
+            if (error == AcceptError::queue_empty) return had_clients;
+            if (error != AcceptError::one_connection) return true;
+            ++failures;
+            continue;
+        }
+        failures = 0;
         counters_.add(Counter::connections_accepted);
         handler(std::move(client));
-        accepted_any = true;
+        had_clients = true;
     }
+    return true;
 }
 
 FileDescriptor ClientListener::accept_one() {
@@ -58,27 +78,35 @@
 }
 
 void ClientListener::accept_batch() {
+    if (!spare_) spare_ = open_spare_descriptor();
+    bool made_progress = false;
     for (int count = 0; count < max_accepts_per_event; ++count) {
         FileDescriptor client = accept_one();
         if (client) {
+            made_progress = true;
             counters_.add(Counter::connections_accepted);
             on_accepted_(std::move(client));
             continue;
         }
-        const int error = errno;
-        if (is_error_of_one_connection(error)) continue;
-        if (is_queue_empty(error)) return;
+        const AcceptError error = classify_accept_error(errno);
+        if (error == AcceptError::queue_empty) return;
         counters_.add(Counter::accepts_failed);
-        if (error == EMFILE || error == ENFILE) accept_by_spare_descriptor();
-        return;
+        if (error == AcceptError::one_connection) continue;
+        if (error == AcceptError::no_descriptor && accept_by_spare_descriptor()) return;
+        return retry_later();
     }
+    if (!made_progress) retry_later();
 }
 
 // No descriptor is left, although some are kept back: by the spare one, the client can at least be answered.
-void ClientListener::accept_by_spare_descriptor() {
+// False where that did not help.
+bool ClientListener::accept_by_spare_descriptor() {
     spare_.close();
-    if (FileDescriptor client = accept_one()) on_exhausted_(std::move(client));
+    FileDescriptor client = accept_one();
+    const bool is_accepted = static_cast<bool>(client);
+    if (is_accepted) on_exhausted_(std::move(client));
     spare_ = open_spare_descriptor();
+    return is_accepted;
 }
 
 }  // namespace headrouter
--- a/src/downstream/client_listener.h
+++ b/src/downstream/client_listener.h
@@ -25,7 +25,8 @@
     /// While paused, connections wait in the kernel, or for another process that has the socket as well.
     void pause(bool paused);
 
-    /// Accepts all that wait and gives them to `handler`; false where there were none.
+    /// Accepts all that wait and gives them to `handler`; false where nobody did. True too where some may
+    /// wait still, since accepting failed: it is to be tried again.
     bool accept_backlog(const Handler& handler);
 
     int descriptor() const { return socket_.get(); }
@@ -33,7 +34,9 @@
    private:
     void accept_batch();
     FileDescriptor accept_one();
-    void accept_by_spare_descriptor();
+    bool accept_by_spare_descriptor();
+    void retry_later();
+    void update_watcher();
 
     Counters& counters_;
     Handler on_accepted_;
@@ -41,6 +44,8 @@
     FileDescriptor socket_;
     FileDescriptor spare_;  // given up for a moment where no other descriptor is left
     IoWatcher watcher_;
+    TimerWatcher retry_timer_;
+    bool is_paused_ = false;
 };
 
 }  // namespace headrouter
--- a/src/downstream/request_line_deadline.h
+++ b/src/downstream/request_line_deadline.h
@@ -12,7 +12,7 @@
 /// What a client has done so far, as far as its time limit depends on it.
 struct RequestLineProgress {
     TimePoint connected_at;
-    TimePoint idle_since;       ///< when it connected or last sent a whole probe
+    TimePoint idle_since;         ///< when it connected or last sent a whole probe
     TimePoint line_started_at{};  ///< of `request_line_start`, for the line that has begun
     bool has_probed = false;
     bool has_partial_line = false;
--- a/src/hot_restart/hot_restart_channel.cpp
+++ b/src/hot_restart/hot_restart_channel.cpp
@@ -13,6 +13,7 @@
 #include <system_error>
 
 #include "transport/clock.h"
+#include "transport/socket_error.h"
 
 namespace headrouter {
 
@@ -129,8 +130,7 @@
     const TimePoint deadline = step_deadline();
     while (wait_until_ready(socket_.get(), POLLOUT, deadline)) {
         if (sendmsg(socket_.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0) return;
-        const bool may_pass = errno == EAGAIN || errno == EINTR || errno == ENOBUFS;
-        if (!may_pass) throw HotRestartError("the other process is gone");
+        if (!is_transient_send_error(errno)) throw HotRestartError("the other process is gone");
     }
     throw HotRestartError("the other process does not read");
 }
@@ -141,7 +141,7 @@
     (void)::send(socket_.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
-HotRestartMessage HotRestartChannel::receive() {
+std::optional<HotRestartMessage> HotRestartChannel::receive() {
     HotRestartMessage received;
     received.text.resize(receive_buffer_bytes);
     iovec part{received.text.data(), received.text.size()};
@@ -152,7 +152,8 @@
     message.msg_control = control.bytes;
     message.msg_controllen = sizeof control.bytes;
     const ssize_t size = recvmsg(socket_.get(), &message, MSG_CMSG_CLOEXEC | MSG_DONTWAIT);
-    if (size <= 0) return {};
+    if (size < 0 && is_transient_receive_error(errno)) return std::nullopt;
+    if (size <= 0) return HotRestartMessage{};
     received.descriptors = attached(message);
     if ((message.msg_flags & (MSG_TRUNC | MSG_CTRUNC)) != 0) throw HotRestartError("a message is too long");
     received.text.resize(static_cast<size_t>(size));
@@ -160,11 +161,14 @@
 }
 
 HotRestartMessage HotRestartChannel::wait_for_message() {
-    if (!wait_until_ready(socket_.get(), POLLIN, step_deadline()))
-        throw HotRestartError("the other process says nothing");
-    HotRestartMessage message = receive();
-    if (message.is_end()) throw HotRestartError("the other process is gone");
-    return message;
+    const TimePoint deadline = step_deadline();
+    while (wait_until_ready(socket_.get(), POLLIN, deadline)) {
+        std::optional<HotRestartMessage> message = receive();
+        if (!message) continue;
+        if (message->is_end()) throw HotRestartError("the other process is gone");
+        return std::move(*message);
+    }
+    throw HotRestartError("the other process says nothing");
 }
 
 std::string hot_restart_socket_path(const std::string& folder, const std::string& listen) {
--- a/src/hot_restart/hot_restart_channel.h
+++ b/src/hot_restart/hot_restart_channel.h
@@ -6,6 +6,7 @@
 /// listener and, where the versions are the same, with its state and all connections. docs/operating.md has
 /// the operator's view.
 #pragma once
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -80,9 +81,9 @@
     /// The child's first message. Throws HotRestartError as send() does.
     void send_greeting(std::string_view version_name);
 
-    /// The message that is there, without waiting; one that is_end() where there is none or the channel was
-    /// closed. Throws HotRestartError where the message is longer than any that is sent.
-    [[nodiscard]] HotRestartMessage receive();
+    /// The message that is there, without waiting: none where nothing has come yet, one that is_end() where
+    /// the channel was closed. Throws HotRestartError where the message is longer than any that is sent.
+    [[nodiscard]] std::optional<HotRestartMessage> receive();
 
     /// The next message. Throws HotRestartError where none comes within step_timeout, or the channel was
     /// closed.
--- a/src/hot_restart/hot_restart_child.cpp
+++ b/src/hot_restart/hot_restart_child.cpp
@@ -85,7 +85,9 @@
 void HotRestartChild::on_parent_readable() {
     HotRestartMessage message;
     try {
-        message = channel_.receive();
+        std::optional<HotRestartMessage> received = channel_.receive();
+        if (!received) return;
+        message = std::move(*received);
     } catch (const HotRestartError&) {
         message = {};  // as if it had closed the channel
     }
--- a/src/hot_restart/hot_restart_parent.cpp
+++ b/src/hot_restart/hot_restart_parent.cpp
@@ -57,7 +57,9 @@
 void HotRestartParent::on_child_readable() {
     HotRestartMessage message;
     try {
-        message = child_.receive();
+        std::optional<HotRestartMessage> received = child_.receive();
+        if (!received) return;
+        message = std::move(*received);
     } catch (const HotRestartError&) {
         message = {};  // as if it had closed the channel
     }
--- a/src/transport/line_connection.cpp
+++ b/src/transport/line_connection.cpp
@@ -4,6 +4,8 @@
 
 #include <cerrno>
 
+#include "transport/socket_error.h"
+
 namespace headrouter {
 
 namespace {
@@ -17,14 +19,6 @@
 char discard_buffer[1 << 20];
 
 ssize_t discard_once(int socket) { return recv(socket, discard_buffer, sizeof discard_buffer, MSG_TRUNC); }
-
-bool is_read_retryable(int error) {
-    return error == EINTR || error == EAGAIN || error == EWOULDBLOCK || error == ENOMEM;
-}
-
-bool is_write_retryable(int error) {
-    return error == EAGAIN || error == EWOULDBLOCK || error == ENOBUFS || error == ENOMEM;
-}
 }  // namespace
 
 std::atomic<size_t> LineConnection::total_buffered_bytes_ = 0;
@@ -105,7 +99,12 @@
 
 bool LineConnection::has_unread_bytes() const {
     char byte = 0;
-    return !is_closed() && recv(socket_.get(), &byte, 1, MSG_PEEK) > 0;
+    if (is_closed()) return false;
+    ssize_t count = -1;
+    do {
+        count = recv(socket_.get(), &byte, 1, MSG_PEEK);
+    } while (count < 0 && errno == EINTR);
+    return count > 0;
 }
 
 void LineConnection::report_closed(CloseReason reason) {
@@ -169,9 +168,9 @@
             ::send(socket_.get(), output_.data() + output_sent_, unsent_bytes(), MSG_NOSIGNAL);
         if (sent > 0) {
             output_sent_ += static_cast<size_t>(sent);
-        } else if (is_write_retryable(errno)) {
+        } else if (is_transient_send_error(errno)) {
             return true;  // the watcher reports when the kernel has room again
-        } else if (errno != EINTR) {
+        } else {
             return false;
         }
     }
@@ -195,7 +194,7 @@
     if (is_finishing_) return discard_input();
     char bytes[read_size];
     const ssize_t count = recv(socket_.get(), bytes, sizeof bytes, 0);
-    if (count < 0 && is_read_retryable(errno)) return;
+    if (count < 0 && is_transient_receive_error(errno)) return;
     if (count < 0) return report_closed(CloseReason::reset);
     if (count == 0) return on_input_end();
     input_.append(bytes, static_cast<size_t>(count));
@@ -205,7 +204,7 @@
 // Unwanted input is dropped by the kernel without a copy: 60 MB that follow a reply cost next to nothing.
 void LineConnection::discard_input() {
     const ssize_t count = discard_once(socket_.get());
-    if (count > 0 || (count < 0 && is_read_retryable(errno))) return;
+    if (count > 0 || (count < 0 && is_transient_receive_error(errno))) return;
     input_ended_ = true;
     if (count == 0 && !fin_sent_) return;
     watcher_.stop();
--- a/src/transport/lingering_closer.cpp
+++ b/src/transport/lingering_closer.cpp
@@ -1,19 +1,19 @@
 #include "transport/lingering_closer.h"
 
+#include "transport/clock.h"
+
 namespace headrouter {
 
 namespace {
 constexpr Duration check_interval = seconds(0.2);
-// Seconds for which a connection may linger, and for which it may beyond the limit of their number: even then
-// only those are cut whose peers had the time to read their reply.
-constexpr ev_tstamp max_linger = 2;
-constexpr ev_tstamp max_linger_over_limit = 0.1;
+// How long a connection may linger, and how long beyond the limit of their number: even then only those are
+// cut whose peers had the time to read their reply.
+constexpr Duration max_linger = seconds(2);
+constexpr Duration max_linger_over_limit = millis(100);
 }  // namespace
 
 LingeringCloser::LingeringCloser(struct ev_loop* loop)
-    : loop_(loop),
-      timer_(loop, [this] { close_expired(); }),
-      before_wait_(loop, [this] { close_expired(); }) {
+    : timer_(loop, [this] { close_expired(); }), before_wait_(loop, [this] { close_expired(); }) {
     timer_.start_repeating(check_interval);
     timer_.run_in_background();
     before_wait_.start();
@@ -25,16 +25,17 @@
 }
 
 void LingeringCloser::add(std::unique_ptr<LineConnection> connection) {
-    if (connection) connections_.push_back({std::move(connection), ev_now(loop_)});
+    if (connection) connections_.push_back({std::move(connection), Clock::now()});
 }
 
 void LingeringCloser::close_expired() {
+    const TimePoint now = Clock::now();
     size_t remaining = connections_.size();
     connections_.remove_if([&](const LingeringConnection& lingering) {
         LineConnection& connection = *lingering.connection;
         const bool over_limit = max_connections_ > 0 && remaining > max_connections_;
-        const ev_tstamp allowed = over_limit ? max_linger_over_limit : max_linger;
-        if (!connection.is_closed() && ev_now(loop_) - lingering.since >= allowed) connection.close_now();
+        const Duration allowed = over_limit ? max_linger_over_limit : max_linger;
+        if (!connection.is_closed() && now - lingering.since >= allowed) connection.close_now();
         if (!connection.is_closed()) return false;
         --remaining;
         return true;
--- a/src/transport/lingering_closer.h
+++ b/src/transport/lingering_closer.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <memory>
 
+#include "base/time.h"
 #include "transport/event_watcher.h"
 #include "transport/line_connection.h"
 
@@ -39,11 +40,10 @@
    private:
     struct LingeringConnection {
         std::unique_ptr<LineConnection> connection;
-        ev_tstamp since = 0;
+        TimePoint since;
     };
     void close_expired();
 
-    struct ev_loop* loop_;
     std::list<LingeringConnection> connections_;  // the oldest first
     size_t max_connections_ = 0;
     TimerWatcher timer_;
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -11,6 +11,8 @@
 #include <memory>
 #include <system_error>
 
+#include "transport/socket_error.h"
+
 namespace headrouter {
 
 std::atomic<int> FileDescriptor::open_count_ = 0;
@@ -83,7 +85,7 @@
     if (!fd) return fd;
     disable_nagle(fd.get());
     const auto* const peer = reinterpret_cast<const sockaddr*>(&address.bytes);
-    if (connect(fd.get(), peer, address.size) == 0 || errno == EINPROGRESS) return fd;
+    if (connect(fd.get(), peer, address.size) == 0 || is_connect_in_progress(errno)) return fd;
     const int connect_error = errno;
     fd.close();
     errno = connect_error;
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "transport/clock.h"
+#include "transport/socket_error.h"
 
 namespace headrouter {
 
@@ -16,12 +17,6 @@
 // A longer time between two checks means that this process did not run.
 constexpr Duration max_check_interval = seconds(0.3);
 
-/// Whether connect() failed for what this process is short of: that says nothing about the server.
-bool is_local_shortage(int error) {
-    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM ||
-           error == EADDRNOTAVAIL;
-}
-
 std::string bytes_of(const Address& address) {
     return {reinterpret_cast<const char*>(&address.bytes), address.size};
 }
@@ -74,7 +69,7 @@
     attempt.response_deadline = Clock::now() + response_timeout;
     FileDescriptor fd = connect_to(address);
     if (!fd) {
-        const bool is_local = is_local_shortage(errno);
+        const bool is_local = is_local_connect_error(errno);
         const AttemptOutcome outcome = is_local ? AttemptOutcome::not_sent : AttemptOutcome::connect_failed;
         end_attempt(id, {outcome, CloseReason::reset, false, {}});
         return;
