A server that looks started in the future warms up from now on; policy logic out of headers

Change: balancing_policy.cpp takes the earlier of start time and now; the time as listed still tells a second start from the first. Endpoints.AServerThatLooksStartedInTheFutureWarmsUpFromNowOn fails without it. A clock ahead cannot be told from an old server and stays open (ROADMAP).

--- a/src/policy/balancing_policy.cpp
+++ b/src/policy/balancing_policy.cpp
@@ -271,7 +271,8 @@
     const ServerTable::Applied applied = servers_.apply(endpoint);
     if (applied.is_new) gossip_.add_server(endpoint.server, applied.server);
     const bool starts = applied.is_restarted || (applied.is_new && endpoint.launched);
-    if (starts) servers_.begin_slow_start(now, applied.server, *endpoint.launched);
+    // Later than now only by a wall clock that was stepped: the server would count as cold until that time.
+    if (starts) servers_.begin_slow_start(now, applied.server, std::min(*endpoint.launched, now));
     if (applied.is_restarted) replace_process(applied.server);
     return applied.server;
 }
--- a/src/policy/endpoint_tracker.h
+++ b/src/policy/endpoint_tracker.h
@@ -1,11 +1,8 @@
-// Keeping the watch of the endpoint list alive.
+/// Keeping the watch of the endpoint list alive.
 #pragma once
-#include <algorithm>
-
 #include "base/pcg32.h"
 #include "policy/policy_actions.h"
 #include "policy/policy_config.h"
-#include "policy/timers.h"
 
 namespace headrouter {
 
@@ -19,36 +16,19 @@
         : config_(config), actions_(actions), random_(random) {}
 
     /// Asks for the list and for each change of it.
-    void request(TimePoint now) {
-        is_asked_ = true;
-        asked_at_ = now;
-        actions_.watch_endpoints();
-    }
+    void request(TimePoint now);
     /// The timer that an error has set: asks again unless the list has come since.
-    void on_retry_timer(TimePoint now) {
-        if (!is_watching_ && !is_asked_) request(now);
-    }
+    void on_retry_timer(TimePoint now);
     /// An update arrived. A cached list does not come from the watch, and so says nothing of it.
-    void on_update(EndpointUpdateKind kind) {
-        if (kind == EndpointUpdateKind::cached) return;
-        is_asked_ = false;
-        is_watching_ = true;
-        retry_pause_ = first_retry_pause;
-    }
+    void on_update(EndpointUpdateKind kind);
     /// The list could not be read, or its watch has ended.
-    void on_error(TimePoint now) {
-        is_asked_ = false;
-        is_watching_ = false;
-        if (config_.polls_endpoints)
-            actions_.set_timer(now + retry_pause_ * (0.75 + 0.5 * random_.uniform()),
-                               timer_token(TimerKind::retry_watch));
-        retry_pause_ = std::min(retry_pause_ * 2, longest_retry_pause);
-    }
+    void on_error(TimePoint now);
 
    private:
     friend struct StateAccess;
-    // The longest is far within the time after which servers take their drains for known everywhere.
-    static constexpr Duration first_retry_pause = millis(300), longest_retry_pause = seconds(2);
+    static constexpr Duration first_retry_pause = millis(300);
+    // Far within the time after which servers take their drains for known everywhere.
+    static constexpr Duration longest_retry_pause = seconds(2);
 
     const PolicyConfig& config_;
     PolicyActions& actions_;
--- /dev/null
+++ b/src/policy/rendezvous_rankings.cpp
@@ -0,0 +1,17 @@
+#include "policy/rendezvous_rankings.h"
+
+#include "base/hash.h"
+
+namespace headrouter {
+
+const fleet_load::RendezvousRanking& RendezvousRankings::of(const std::string& name,
+                                                            const ServerTable& servers) {
+    // Bounded: all are made anew when needed.
+    if (rankings_.size() >= most_names && !rankings_.contains(name)) rankings_.clear();
+    fleet_load::RendezvousRanking& ranking = rankings_[name];
+    if (ranking.scores.size() < static_cast<size_t>(servers.size()))
+        fleet_load::extend_ranking(ranking, hash_of(name), servers.order_entries());
+    return ranking;
+}
+
+}  // namespace headrouter
--- a/src/policy/rendezvous_rankings.h
+++ b/src/policy/rendezvous_rankings.h
@@ -1,10 +1,8 @@
-// Rendezvous hashing: for each affinity group (or key) an order of the servers that all balancers share.
+/// Rendezvous hashing: for each affinity group (or key) an order of the servers that all balancers share.
 #pragma once
 #include <string>
 #include <unordered_map>
-#include <vector>
 
-#include "base/hash.h"
 #include "fleet_load/rendezvous_ranking.h"
 #include "policy/server_table.h"
 
@@ -23,14 +21,4 @@
         rankings_;  // looked up only: its order is arbitrary
 };
 
-inline const fleet_load::RendezvousRanking& RendezvousRankings::of(const std::string& name,
-                                                                   const ServerTable& servers) {
-    // Bounded: all are made anew when needed.
-    if (rankings_.size() >= most_names && !rankings_.contains(name)) rankings_.clear();
-    fleet_load::RendezvousRanking& ranking = rankings_[name];
-    if (ranking.scores.size() < static_cast<size_t>(servers.size()))
-        fleet_load::extend_ranking(ranking, hash_of(name), servers.order_entries());
-    return ranking;
-}
-
 }  // namespace headrouter
--- a/src/policy/slow_start.h
+++ b/src/policy/slow_start.h
@@ -1,6 +1,5 @@
-// Slow start: how much a server that has just started may be sent.
+/// Slow start: how much a server that has just started may be sent.
 #pragma once
-#include <algorithm>
 #include <optional>
 
 #include "base/time.h"
@@ -15,11 +14,7 @@
 class SlowStart {
    public:
     /// The server's process started at `started`; this balancer learns of it now.
-    void begin(TimePoint now, TimePoint started) {
-        started_ = started;
-        is_restart_expected_ = false;
-        permits_.reset(now);
-    }
+    void begin(TimePoint now, TimePoint started);
     /// The process is known to have died: what answers next is a new one, before the list says so.
     void expect_restart() { is_restart_expected_ = true; }
     bool is_restart_expected() const { return is_restart_expected_; }
@@ -27,19 +22,13 @@
     const std::optional<TimePoint>& started() const { return started_; }
 
     /// The part of its weight that counts, from 0 at the start of the process to 1 after `duration`.
-    double factor(TimePoint now, Duration duration) const {
-        if (!started_ || duration.ns <= 0) return 1;
-        return std::clamp((now - *started_) / duration, 0.0, 1.0);
-    }
+    double factor(TimePoint now, Duration duration) const;
     bool is_cold(TimePoint now, Duration duration) const { return factor(now, duration) < 1; }
 
     /// Whether this balancer has a permit for a connection of so many mean load units. Only for a cold server
     /// that carries `capacity` of them when warm; `server_hash` is of its id.
     bool has_permit(TimePoint now, double load, const slow_start::SlowStartConfig& config, double capacity,
-                    uint64_t server_hash) {
-        permits_.update(now, *started_, config, capacity, server_hash);
-        return permits_.is_available(load, config);
-    }
+                    uint64_t server_hash);
     void use_permit() { permits_.consume(); }
 
    private:
--- a/src/policy/surplus_drain.h
+++ b/src/policy/surplus_drain.h
@@ -1,6 +1,5 @@
-// Migrating a server's surplus off, one connection after the other.
+/// Migrating a server's surplus off, one connection after the other.
 #pragma once
-#include <algorithm>
 #include <optional>
 
 #include "base/pcg32.h"
@@ -16,32 +15,15 @@
    public:
     /// Migrates `load` off in about so many steps spread over `duration`. Returns when the first step is due,
     /// by chance within one interval, so that balancers do not act together; nothing if a drain runs already.
-    std::optional<TimePoint> start(TimePoint now, double load, int steps, Duration duration, Pcg32& random) {
-        remaining_ = load;
-        interval_ = duration * (1.0 / std::max(1, steps));
-        if (is_active_ || load <= 0) return std::nullopt;
-        is_active_ = true;
-        return now + interval_ * random.uniform();
-    }
+    std::optional<TimePoint> start(TimePoint now, double load, int steps, Duration duration, Pcg32& random);
     /// A step is due. False where nothing is left to migrate; the drain has ended then.
-    bool begin_step() {
-        is_active_ = false;
-        return remaining_ > 0;
-    }
+    bool begin_step();
     /// A connection of so much load was migrated. Returns when the next step is due, if there is one.
-    std::optional<TimePoint> end_step(TimePoint now, double migrated) {
-        remaining_ -= migrated;
-        if (remaining_ <= 0) return std::nullopt;
-        is_active_ = true;
-        return now + interval_;
-    }
+    std::optional<TimePoint> end_step(TimePoint now, double migrated);
     double remaining() const { return remaining_; }
 
     /// The server is over its share by `excess`; returns the largest excess of the last cycles.
-    double record_excess(TimePoint now, double excess) {
-        excess_.raise_to(now, excess);
-        return excess_.max_bucket(now);
-    }
+    double record_excess(TimePoint now, double excess);
     void forget_excess() { excess_.clear(); }
 
     /// Protected connections stay until their server is balanced once, and go first after that.
--- a/tests/policy/test_endpoints.cpp
+++ b/tests/policy/test_endpoints.cpp
@@ -73,6 +73,19 @@
     EXPECT_EQ(w.moved.size(), 3u);
 }
 
+// By a wall clock that was stepped back before this process began: the server is as cold as it can be, and
+// warms up from now on, once.
+TEST(Endpoints, AServerThatLooksStartedInTheFutureWarmsUpFromNowOn) {
+    auto&& [w, b, p] = Rig({listed("a")});
+    Endpoint ahead = listed("b");
+    ahead.launched = term_start + seconds(3600);
+    const TimePoint now = term_start + seconds(1);
+    b.on_endpoints(now, EndpointUpdateKind::delta, {ahead});
+    EXPECT_EQ(p.started("b"), now);
+    b.on_endpoints(now + seconds(5), EndpointUpdateKind::snapshot, {listed("a"), ahead});
+    EXPECT_EQ(p.started("b"), now);
+}
+
 TEST(Endpoints, TimersThatMeanNothingArePassedOver) {
     auto&& [w, b, p] = Rig({listed("a")});
     Peek::due(w);
