--- a/tests/proxy/test_system_faults.cpp
+++ b/tests/proxy/test_system_faults.cpp
@@ -1,6 +1,7 @@
 // A process of the program whose calls of the system fail, and whose wall clock is stepped, while it serves.
 #include <cerrno>
 #include <cstring>
+#include <map>
 
 #include "proxy/fake_site.h"
 #include "testbed/failing_calls.h"
@@ -208,6 +209,139 @@
     }
 }
 
+// One request of a client that waits for its answer.
+struct WaitingClient {
+    Peer peer;
+    TimePoint sent_at;
+    Duration wait;
+
+    bool is_over() { return peer.read(), peer.ended || peer.broke || !peer.got.empty(); }
+    bool is_late() const { return Clock::now() - sent_at > wait + millis(500); }
+    bool has_one_answer() const {
+        return peer.got.starts_with("UP r\r\n") || peer.got.starts_with("BUSY") || peer.got == "ERR\r\n";
+    }
+};
+
+// The site's server: each request is answered at once, by its first line.
+class AnsweringServer {
+   public:
+    explicit AnsweringServer(const Listener& listener) : listener_(listener) {}
+
+    void advance() {
+        for (Peer accepted; accepted = listener_.accept(), accepted.fd;)
+            connections_.push_back(std::move(accepted));
+        for (Peer& connection : connections_) {
+            connection.read();
+            if (connection.got.find('\n') == std::string::npos) continue;
+            ++lines_[connection.got.substr(0, id_end)];
+            connection.got.clear();
+            connection.write("UP r\r\n");
+        }
+    }
+
+    size_t requests_seen_more_than(int most) const {
+        return static_cast<size_t>(std::count_if(lines_.begin(), lines_.end(),
+                                                 [&](const auto& entry) { return entry.second > most; }));
+    }
+
+   private:
+    static constexpr size_t id_end = sizeof "OPEN 1000000000000000" - 1;
+    const Listener& listener_;
+    std::vector<Peer> connections_;
+    std::map<std::string, int> lines_;
+};
+
+struct Fault {
+    SystemCall call;
+    std::vector<int32_t> errors;
+};
+
+struct Counts {
+    size_t answered = 0, lost = 0, late = 0, too_often = 0;
+};
+
+using Sites = std::vector<std::unique_ptr<FaultySite>>;
+
+// Of each site ten clients ask at once, one of them with 20 ms left.
+Counts play_round(const Sites& sites) {
+    std::vector<WaitingClient> clients;
+    std::vector<AnsweringServer> servers;
+    for (const auto& site : sites) {
+        servers.emplace_back(site->server);
+        for (int count = 0; count < 10; ++count) {
+            const int wait_ms = count == 0 ? 20 : 900;
+            Peer peer = dial(site->listen);
+            peer.write("OPEN " + std::to_string(++site->last_id) + " 2b c=chat,d=" + std::to_string(wait_ms) +
+                       "\r\n");
+            clients.push_back({std::move(peer), Clock::now(), millis(wait_ms)});
+        }
+    }
+    sites.front()->until([&] {
+        for (AnsweringServer& server : servers) server.advance();
+        return std::all_of(clients.begin(), clients.end(),
+                           [](WaitingClient& client) { return client.is_over() || client.is_late(); });
+    });
+    Counts counts;
+    for (WaitingClient& client : clients) {
+        counts.late += !client.is_over();
+        counts.lost += client.is_over() && !client.has_one_answer();
+        counts.answered += client.has_one_answer();
+    }
+    constexpr int max_attempts = 2;
+    for (const AnsweringServer& server : servers)
+        counts.too_often += server.requests_seen_more_than(max_attempts);
+    return counts;
+}
+
+Sites several_sites() {
+    Sites sites;
+    for (int count = 0; count < 4; ++count) sites.push_back(std::make_unique<FaultySite>());
+    return sites;
+}
+
+// The last one first: a later site's processes hold copies of an earlier one's descriptors.
+void end(Sites& sites) {
+    while (!sites.empty()) sites.pop_back();
+}
+
+// Several processes, each kind of fault in turn and then all together, at random.
+TEST(SystemFaults, EachRequestHasItsAnswerUnderAllKindsOfFaultsTogether) {
+    const Fault faults[] = {
+        {SystemCall::accept, {ECONNABORTED, ENFILE, ENOBUFS, ENOMEM, EINTR, EPROTO, ENETDOWN}},
+        {SystemCall::socket, {ENFILE, EMFILE, ENOBUFS, ENOMEM}},
+        {SystemCall::connect, {EINTR, EADDRNOTAVAIL, ENETUNREACH, EAGAIN, ECONNREFUSED, ETIMEDOUT}},
+        {SystemCall::receive, {EINTR, EAGAIN, ENOMEM, testbed::short_transfer}},
+        {SystemCall::send, {EINTR, EAGAIN, ENOBUFS, ENOMEM, testbed::short_transfer}},
+        {SystemCall::wait, {EINTR}}};
+    constexpr size_t kinds = std::size(faults);
+    constexpr size_t rounds = kinds + 6;
+    Sites sites = several_sites();
+    for (size_t round = 0; round < rounds; ++round) {
+        for (size_t kind = 0; kind < kinds; ++kind) {
+            const Fault& fault = faults[kind];
+            const bool strikes = kind == round || round >= kinds;
+            const int32_t error = fault.errors[round % fault.errors.size()];
+            for (const auto& site : sites) site->calls.fail(fault.call, error, strikes ? 0.3 : 0);
+        }
+        const Counts counts = play_round(sites);
+        EXPECT_EQ(counts.late, 0U) << "round " << round;
+        EXPECT_EQ(counts.lost, 0U) << "round " << round;
+        EXPECT_EQ(counts.too_often, 0U) << "round " << round;
+        EXPECT_EQ(counts.answered, sites.size() * 10) << "round " << round;
+    }
+    for (const Fault& fault : faults) EXPECT_GT(sites.front()->calls.injected(fault.call), 0U);
+    for (const auto& site : sites) EXPECT_EQ(site->ask(site->running, "STATUS").substr(0, 4), "done");
+    end(sites);
+}
+
+// Sound connections of clients that the process is told have broken: their requests count as lost.
+TEST(SystemFaults, TheCountFindsRequestsThatAreLost) {
+    Sites sites = several_sites();
+    for (const auto& site : sites) site->calls.fail(SystemCall::receive, ECONNRESET);
+    EXPECT_GT(play_round(sites).lost, 0U);
+    end(sites);
+}
+
 // Without its table, or with one of another size, the library refuses.
 TEST(SystemFaults, TheLibraryRefusesATableThatIsNone) {
     Site site;
