Hot restart keeps the wall clock offset: servers do not look restarted after a step

Cause: clock.h measures the offset of the wall clock at the start of each process, and start times of servers are converted by it. Across a hot restart under a clock stepped back by an hour each server with a start time looked restarted: all clients were sent MOVE, failures and load limits were forgotten and a second slow start began; a difference of microseconds between two measurements looks alike, without the moves. Change: the balancer has its own clock, which takes the offset out of the state that it restores (it was part of it), and keeps it at reloads. SystemFaults.AServerDoesNotLookRestartedAcrossAHotRestartUnderASteppedClock failed before (MOVE after the step back), passes; 13 of 13 of system_faults; hot_restart, balancer, state_form pass. The state's form is as before.

--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -56,6 +56,7 @@
 Balancer::Balancer(struct ev_loop* loop, const BootstrapConfig& config, const Clock& clock, Log& log)
     : loop_(loop),
       config_(config),
+      clock_(clock),
       log_(log),
       limits_(config),
       timers_(loop, [this](uint64_t token) { router_.on_timer(token); }),
@@ -66,15 +67,11 @@
       gossip_(loop, counters_),
       router_(config.cluster, config.seed, downstream_, upstream_, router_environment(), counters_, log),
       admin_server_(loop, admin_commands_, counters_),
-      discovery_(loop, router_, clock, counters_, log),
+      discovery_(loop, router_, clock_, counters_, log),
       capture_(router_, counters_, log),
       shutdown_({router_, downstream_, client_closer_, server_closer_}),
       hot_restart_(loop, config_, {router_, downstream_, upstream_, timers_, discovery_, gossip_},
-                   {[this] { return is_serving(); },
-                    [this] {
-                        router_.reconfigure(config_.cluster);
-                        apply_latency_threshold();
-                    },
+                   {[this] { return is_serving(); }, [this] { apply_restored_configuration(); },
                     [this](int descriptors) { set_held_by_previous_process(descriptors); }},
                    log),
       // What has arrived is read before anyone is found to be late or silent.
@@ -175,6 +172,7 @@
     if (changes_fixed_settings(config_, next))
         log_.warning("settings_kept", {{"fields", "name,listen,ops"}, {"until", "the next start"}});
     config_ = with_fixed_settings(config_, next);
+    config_.cluster.policy.wall_clock_offset = clock_.wall_clock_offset();
     limits_.configure(config_);
     downstream_.set_descriptor_limit(limits_.available_descriptors());
     router_.reconfigure(config_.cluster);
@@ -189,6 +187,16 @@
     log_.error("config_reload_refused", {{"reason", reason}});
 }
 
+// The policy still has the previous process's offset of the wall clock. By another one each server that has a
+// start time would look restarted, or be older than it is.
+void Balancer::apply_restored_configuration() {
+    const Duration offset = router_.wall_clock_offset();
+    clock_.set_wall_clock_offset(offset);
+    config_.cluster.policy.wall_clock_offset = offset;
+    router_.reconfigure(config_.cluster);
+    apply_latency_threshold();
+}
+
 void Balancer::apply_latency_threshold() {
     upstream_.set_min_reported_latency(min_reported_latency(router_.config()));
 }
--- a/src/proxy/balancer.h
+++ b/src/proxy/balancer.h
@@ -20,13 +20,14 @@
 #include "proxy/request_router.h"
 #include "proxy/resource_limits.h"
 #include "proxy/timer_service.h"
+#include "transport/clock.h"
 #include "transport/event_watcher.h"
 #include "upstream/upstream.h"
 
 namespace headrouter {
 
 /// Composes the parts and routes the events between them. Everything runs on the thread of the loop, which
-/// must outlive it, as must the clock and the log.
+/// must outlive it, as must the log. The clock is copied.
 class Balancer {
    public:
     Balancer(struct ev_loop*, const BootstrapConfig&, const Clock&, Log&);
@@ -62,6 +63,7 @@
     void open_gossip(const BootstrapConfig&);
     void open_gossip_at_start();
     void apply_latency_threshold();
+    void apply_restored_configuration();
     void set_held_by_previous_process(int descriptors);
     void run_periodic_tasks();
     std::optional<Counter> find_shortage();
@@ -72,6 +74,7 @@
 
     struct ev_loop* loop_;
     BootstrapConfig config_;
+    Clock clock_;  // its offset is the previous process's after a hot restart
     Log& log_;
     Counters counters_;
     ResourceLimits limits_;
--- a/src/proxy/request_router.h
+++ b/src/proxy/request_router.h
@@ -95,6 +95,10 @@
     void record_to(capture::EventRecorder* recorder) { policy_.record_to(recorder); }
 
     const ClusterConfig& config() const { return config_; }
+
+    /// The wall clock less the steady one, as the policy counts with it: after a hot restart the previous
+    /// process's until `reconfigure` is called.
+    Duration wall_clock_offset() const { return policy_.told().wall_clock_offset; }
     admin::MetricsSnapshot metrics() const;
 
    private:
--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -23,6 +23,10 @@
     /// What is to be added to a time of the steady clock to get nanoseconds since 1970.
     Duration wall_clock_offset() const { return Duration{} - wall_to_steady_; }
 
+    /// Takes over the offset that an earlier process on this machine found: times that were converted by it
+    /// stay comparable, also where the wall clock was stepped in between.
+    void set_wall_clock_offset(Duration offset) { wall_to_steady_ = Duration{} - offset; }
+
    private:
     static constexpr int64_t ns_per_ms = 1'000'000;
 
--- a/tests/proxy/test_system_faults.cpp
+++ b/tests/proxy/test_system_faults.cpp
@@ -1,5 +1,6 @@
 // A process of the program whose calls of the system fail, and whose wall clock is stepped, while it serves.
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <map>
 
@@ -114,6 +115,58 @@
     EXPECT_GT(open_descriptors(running.pid), before);
 }
 
+namespace {
+
+// Answers the next request for the list with the whole list, whose server started at `started_at_ms`.
+void tell_list(Site& site, std::vector<Peer>& agents, int64_t started_at_ms) {
+    fcntl(site.agent.fd.get(), F_SETFL, O_NONBLOCK);
+    const std::string body = R"({"generation":2,"reset":true,"instances":[{"instanceId":"s","hostPort":")" +
+                             site.server.at + R"(","zone":"a","lifecycle":"SERVING","startedAtMs":)" +
+                             std::to_string(started_at_ms) + "}]}";
+    // Requests made before are given up by now; the newest connection is the one that is waited on.
+    EXPECT_TRUE(site.until([&] {
+        for (Peer asks; asks = site.agent.accept(), asks.fd;) agents.push_back(std::move(asks));
+        if (agents.empty()) return false;
+        agents.back().read();
+        return agents.back().got.find("\r\n\r\n") != std::string::npos && !agents.back().ended;
+    }));
+    agents.back().write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                        body);
+    agents.back().got.clear();
+    site.turn(0.1);
+}
+
+int64_t unix_ms() {
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+// The next process reads a stepped clock; the servers that it takes over have not started anew for that.
+TEST(SystemFaults, AServerDoesNotLookRestartedAcrossAHotRestartUnderASteppedClock) {
+    for (const Duration step : {seconds(-3600), seconds(3600)}) {
+        Site site;
+        const WallClock clock(site.folder + "/clock");
+        site.executable = built("headrouter");
+        site.environment = clock.environment();
+        const int64_t started_at_ms = unix_ms() - 500;
+        std::vector<Peer> agents;
+        const Site::Program old = site.start();
+        tell_list(site, agents, started_at_ms);
+        auto pair = site.standing();
+        clock.step(step);
+        const Site::Program next = site.start();
+        agents.clear();
+        tell_list(site, agents, started_at_ms);
+        site.carries(pair, "on\r\n");
+        EXPECT_EQ(pair.first.got.find("MOVE"), std::string::npos) << to_seconds(step);
+        site.leaves(old.pid);
+        site.carries(pair, "still on\r\n");
+        EXPECT_EQ(site.ask(next, "STATUS"), "done\r\n");
+    }
+}
+
 // The client waits in the queue meanwhile, and the process does not spin on it.
 TEST(SystemFaults, AClientIsServedAfterAcceptHasFailedForAWhile) {
     for (const int error :
