--- a/lab/testbed/failing_calls_library.cpp
+++ b/lab/testbed/failing_calls_library.cpp
@@ -92,56 +92,71 @@
 
 }  // namespace
 
+// Each takes the place of the C library's by its linker name; of its own name, it is no second definition of
+// a function that the system's headers declare.
 extern "C" {
 
-int accept4(int socket, sockaddr* address, socklen_t* size, int flags) {
+int failing_accept4(int socket, sockaddr* address, socklen_t* size, int flags) __asm__("accept4");
+int failing_socket(int domain, int type, int protocol) noexcept __asm__("socket");
+int failing_connect(int socket, const sockaddr* address, socklen_t size) __asm__("connect");
+ssize_t failing_recv(int socket, void* bytes, size_t size, int flags) __asm__("recv");
+ssize_t failing_recvmsg(int socket, msghdr* message, int flags) __asm__("recvmsg");
+ssize_t failing_send(int socket, const void* bytes, size_t size, int flags) __asm__("send");
+ssize_t failing_sendmsg(int socket, const msghdr* message, int flags) __asm__("sendmsg");
+int failing_epoll_wait(int epoll, epoll_event* events, int max_events, int timeout_ms) __asm__("epoll_wait");
+int failing_open(const char* path, int flags, ...) __asm__("open");
+ssize_t failing_write(int file, const void* bytes, size_t size) __asm__("write");
+int failing_fsync(int file) __asm__("fsync");
+int failing_rename(const char* from, const char* to) noexcept __asm__("rename");
+
+int failing_accept4(int socket, sockaddr* address, socklen_t* size, int flags) {
     static const auto call = real<int(int, sockaddr*, socklen_t*, int)>("accept4");
     const int32_t error = injected_error(SystemCall::accept);
     return error > 0 ? fail_with(error) : call(socket, address, size, flags);
 }
 
-int socket(int domain, int type, int protocol) noexcept {
+int failing_socket(int domain, int type, int protocol) noexcept {
     static const auto call = real<int(int, int, int)>("socket");
     const int32_t error = injected_error(SystemCall::socket);
     return error > 0 ? fail_with(error) : call(domain, type, protocol);
 }
 
-int connect(int socket, const sockaddr* address, socklen_t size) {
+int failing_connect(int socket, const sockaddr* address, socklen_t size) {
     static const auto call = real<int(int, const sockaddr*, socklen_t)>("connect");
     const int32_t error = injected_error(SystemCall::connect);
     if (error == EINTR) call(socket, address, size);  // it goes on by itself
     return error > 0 ? fail_with(error) : call(socket, address, size);
 }
 
-ssize_t recv(int socket, void* bytes, size_t size, int flags) {
+ssize_t failing_recv(int socket, void* bytes, size_t size, int flags) {
     static const auto call = real<ssize_t(int, void*, size_t, int)>("recv");
     return transfer(SystemCall::receive, size, [&](size_t most) { return call(socket, bytes, most, flags); });
 }
 
-ssize_t recvmsg(int socket, msghdr* message, int flags) {
+ssize_t failing_recvmsg(int socket, msghdr* message, int flags) {
     static const auto call = real<ssize_t(int, msghdr*, int)>("recvmsg");
     const int32_t error = injected_error(SystemCall::receive);
     return error > 0 ? fail_with(error) : call(socket, message, flags);
 }
 
-ssize_t send(int socket, const void* bytes, size_t size, int flags) {
+ssize_t failing_send(int socket, const void* bytes, size_t size, int flags) {
     static const auto call = real<ssize_t(int, const void*, size_t, int)>("send");
     return transfer(SystemCall::send, size, [&](size_t most) { return call(socket, bytes, most, flags); });
 }
 
-ssize_t sendmsg(int socket, const msghdr* message, int flags) {
+ssize_t failing_sendmsg(int socket, const msghdr* message, int flags) {
     static const auto call = real<ssize_t(int, const msghdr*, int)>("sendmsg");
     const int32_t error = injected_error(SystemCall::send);
     return error > 0 ? fail_with(error) : call(socket, message, flags);
 }
 
-int epoll_wait(int epoll, epoll_event* events, int max_events, int timeout_ms) {
+int failing_epoll_wait(int epoll, epoll_event* events, int max_events, int timeout_ms) {
     static const auto call = real<int(int, epoll_event*, int, int)>("epoll_wait");
     const int32_t error = injected_error(SystemCall::wait);
     return error > 0 ? fail_with(error) : call(epoll, events, max_events, timeout_ms);
 }
 
-int open(const char* path, int flags, ...) {
+int failing_open(const char* path, int flags, ...) {
     static const auto call = real<int(const char*, int, ...)>("open");
     va_list arguments;
     va_start(arguments, flags);
@@ -151,19 +166,19 @@
     return error > 0 ? fail_with(error) : call(path, flags, mode);
 }
 
-ssize_t write(int file, const void* bytes, size_t size) {
+ssize_t failing_write(int file, const void* bytes, size_t size) {
     static const auto call = real<ssize_t(int, const void*, size_t)>("write");
     if (!is_regular_file(file)) return call(file, bytes, size);
     return transfer(SystemCall::write, size, [&](size_t most) { return call(file, bytes, most); });
 }
 
-int fsync(int file) {
+int failing_fsync(int file) {
     static const auto call = real<int(int)>("fsync");
     const int32_t error = injected_error(SystemCall::sync);
     return error > 0 ? fail_with(error) : call(file);
 }
 
-int rename(const char* from, const char* to) noexcept {
+int failing_rename(const char* from, const char* to) noexcept {
     static const auto call = real<int(const char*, const char*)>("rename");
     const int32_t error = injected_error(SystemCall::rename);
     return error > 0 ? fail_with(error) : call(from, to);
--- a/tests/downstream/test_client_log.cpp
+++ b/tests/downstream/test_client_log.cpp
@@ -17,7 +17,7 @@
 
 class ClientLogTest : public testing::Test {
    protected:
-    ~ClientLogTest() override {
+    void TearDown() override {
         client_.connection.reset();
         ev_loop_destroy(loop_);
     }
