--- a/tests/proxy/fake_site.h
+++ b/tests/proxy/fake_site.h
@@ -70,7 +70,7 @@
     }
     // A program and the address where it can be asked.
     struct Program {
-        pid_t pid;
+        pid_t pid = -1;
         std::string ops;
     };
     Program launch(const char* tmpdir = nullptr) {
