Test of lingering connections looks at the connection itself, not at a count

ConnectionsThatLinger...SteppedForward failed in one of three whole suites: its count of descriptors before the step was 14 where it is 12 else, as connections of the operators' address were still closing (STATUS at the start), so one more did not show.

--- a/tests/proxy/test_system_faults.cpp
+++ b/tests/proxy/test_system_faults.cpp
@@ -56,6 +56,14 @@
     }
 };
 
+// Whether the other side has closed the connection altogether, after its FIN: what is sent then is answered
+// by RST.
+bool is_closed_by_peer(const Loop& loop, const Peer& peer) {
+    peer.write("more\r\n");
+    loop.turn(0.05);
+    return pending_error(peer.fd.get()) != 0;
+}
+
 // The wall clock of a process, as the library headrouter_clock reads it.
 class WallClock {
    public:
@@ -97,6 +105,7 @@
     site.turn(2);
     site.turn(1);
     EXPECT_LE(open_descriptors(running.pid), before);
+    for (const Peer& client : clients) EXPECT_TRUE(is_closed_by_peer(site, client));
 }
 
 // Forward: they are not cut before their peers have had the time to read.
@@ -106,13 +115,15 @@
     site.executable = built("headrouter");
     site.environment = clock.environment();
     const Site::Program running = site.start();
-    const size_t before = open_descriptors(running.pid);
     Peer client = dial(site.listen);
     client.write("no request\r\n");
     EXPECT_TRUE(site.says(client, "ERR\r\n"));
     clock.step(seconds(3600));
     site.turn(0.6);
-    EXPECT_GT(open_descriptors(running.pid), before);
+    EXPECT_FALSE(is_closed_by_peer(site, client)) << running.pid;
+    clock.step({});
+    site.turn(1.9);
+    EXPECT_TRUE(is_closed_by_peer(site, client));
 }
 
 namespace {
