Show that a slow discovery agent makes the balancer deaf to drains

Cause: every call to a local agent is given up after less than a second, and none waits longer. Change: review/3.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../standins/run-case.sh" "$(dirname "$0")"
