An unfinished first line of a server is an error, never the client's answer

Cause: Upstream judged an answer by its first word and dropped whether the line was whole. 'UP' established the request and stopped the attempt's timer; 'BUSY' cut off counted as proof that the request never ran.

Evidence: the record shows the cut bytes at the client 0.2 ms after the server wrote them.

Change: read_response is the one place that reads an answer; what is no whole line of at most 4 KiB is an error that may have run, so retry, deadline and reply are those of any error. Counter incomplete_responses.

--- a/src/admin/counters.cpp
+++ b/src/admin/counters.cpp
@@ -45,6 +45,7 @@
     {Counter::request_lines_overdue, "request_lines_overdue"},
     {Counter::long_lines, "long_lines"},
     {Counter::odd_server_lines, "odd_server_lines"},
+    {Counter::incomplete_responses, "incomplete_responses"},
     {Counter::late_events, "late_events"},
     {Counter::answers_overdue, "answers_overdue"},
     {Counter::endpoint_updates, "lists_told"},
--- a/src/admin/counters.h
+++ b/src/admin/counters.h
@@ -47,6 +47,7 @@
     request_lines_overdue,
     long_lines,
     odd_server_lines,
+    incomplete_responses,
     late_events,
     answers_overdue,
     endpoint_updates,
--- a/src/router/attempt_handler.cpp
+++ b/src/router/attempt_handler.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 constexpr int64_t ns_per_ms = 1'000'000;
+// An answer that is no line of the protocol can be longer than one line.
+constexpr size_t max_logged_reply_bytes = 64;
 }  // namespace
 
 void AttemptHandler::start(const StartAttemptAction& action) {
@@ -93,15 +95,16 @@
 
 void AttemptHandler::log_attempt_ended(RequestId id, const ActiveRequest& request,
                                        const AttemptResult& result, Duration duration) {
-    context_.log.debug("attempt_ended", {{"request", id},
-                                         {"server", request.server},
-                                         {"attempt", *request.attempt},
-                                         {"adopted", request.is_adopted},
-                                         {"established", request.is_established},
-                                         {"outcome", name_of(result.outcome)},
-                                         {"silent", result.server_silent},
-                                         {"reply", trim_line_end(result.reply)},
-                                         {"duration_ms", duration.ns / ns_per_ms}});
+    context_.log.debug("attempt_ended",
+                       {{"request", id},
+                        {"server", request.server},
+                        {"attempt", *request.attempt},
+                        {"adopted", request.is_adopted},
+                        {"established", request.is_established},
+                        {"outcome", name_of(result.outcome)},
+                        {"silent", result.server_silent},
+                        {"reply", trim_line_end(result.reply).substr(0, max_logged_reply_bytes)},
+                        {"duration_ms", duration.ns / ns_per_ms}});
 }
 
 void AttemptHandler::end_client_connection(RequestId id, const ActiveRequest& request,
--- a/src/upstream/server_line.cpp
+++ b/src/upstream/server_line.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cmath>
 
+#include "transport/line_connection.h"
 #include "transport/line_text.h"
 
 namespace headrouter {
@@ -24,13 +25,18 @@
     return ServerWord::unknown;
 }
 
-AttemptOutcome outcome_of_response(ServerWord word) {
-    switch (word) {
-        case ServerWord::busy: return AttemptOutcome::at_capacity;
-        case ServerWord::bye: return AttemptOutcome::completed;
-        case ServerWord::move: return AttemptOutcome::cancelled;
-        default: return AttemptOutcome::error;
+ServerResponse read_response(std::string_view bytes, bool is_whole_line) {
+    if (!is_whole_line || bytes.size() > max_line_length) return {};
+    switch (server_word(split_server_line(bytes).word)) {
+        case ServerWord::up: return {.is_established = true, .is_valid = true};
+        case ServerWord::busy: return {.outcome = AttemptOutcome::at_capacity, .is_valid = true};
+        case ServerWord::bye: return {.outcome = AttemptOutcome::completed, .is_valid = true};
+        case ServerWord::move: return {.outcome = AttemptOutcome::cancelled, .is_valid = true};
+        case ServerWord::error: return {.outcome = AttemptOutcome::error, .is_valid = true};
+        case ServerWord::load:
+        case ServerWord::unknown: break;
     }
+    return {};
 }
 
 std::optional<double> parse_report_value(std::string_view text) {
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -206,7 +206,7 @@
         if (!attempt || attempt->stage != Stage::established) return;
     }
     if (attempt->stage != Stage::established) {
-        on_response(*attempt, bytes);
+        on_response(*attempt, bytes, complete);
         return;
     }
     const bool is_single_word = complete && line.rest.empty();
@@ -215,16 +215,17 @@
     events_->on_server_bytes(id, bytes, complete);
 }
 
-void Upstream::on_response(Attempt& attempt, std::string_view line) {
-    const ServerWord word = server_word(split_server_line(line).word);
-    if (word == ServerWord::up) {
+void Upstream::on_response(Attempt& attempt, std::string_view bytes, bool is_whole_line) {
+    const ServerResponse response = read_response(bytes, is_whole_line);
+    if (response.is_established) {
         attempt.stage = Stage::established;
         attempt.timer.stop();
-        events_->on_attempt_established(attempt.id, line);
+        events_->on_attempt_established(attempt.id, bytes);
         return;
     }
-    if (word == ServerWord::unknown || word == ServerWord::load) counters_.add(Counter::odd_server_lines);
-    end_attempt(attempt.id, {outcome_of_response(word), CloseReason::fin, false, line});
+    if (!is_whole_line) counters_.add(Counter::incomplete_responses);
+    if (!response.is_valid) counters_.add(Counter::odd_server_lines);
+    end_attempt(attempt.id, {response.outcome, CloseReason::fin, false, bytes});
 }
 
 void Upstream::on_closed(LineConnection& connection, CloseReason reason) {
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -115,7 +115,7 @@
     void on_closed(LineConnection& connection, CloseReason reason) override;
     void on_output_drained(LineConnection& connection) override;
     void on_timeout(RequestId id);
-    void on_response(Attempt& attempt, std::string_view line);
+    void on_response(Attempt& attempt, std::string_view bytes, bool is_whole_line);
     void on_report(Attempt& attempt, std::string_view value_text);
     void publish_report(const ResolvedReport& report);
 
--- a/tests/proxy/test_attempt_outcomes.cpp
+++ b/tests/proxy/test_attempt_outcomes.cpp
@@ -30,6 +30,49 @@
     EXPECT_TRUE(fixture.run_until([&] { return fixture.count(Counter::attempts_reset) == 1; }));
 }
 
+// A request whose server breaks off or never ends its first line must still get one whole line as its answer.
+TEST(AttemptOutcomes, ClientIsAnsweredWhenItsServersFirstLineHasNoEnd) {
+    enum class Ending { fin, reset, silence, too_long };
+    for (const char* begun : {"UP 5be2", "U", "BYE", "BUSY", "MOVE", "LOAD 7", "?"}) {
+        for (const Ending ending : {Ending::fin, Ending::reset, Ending::silence, Ending::too_long}) {
+            BalancerFixture fixture;
+            Peer client = fixture.connect_client();
+            for (int attempt = 0; attempt < 2; ++attempt) {
+                Peer server = fixture.accept_attempt();
+                server.write(begun);
+                fixture.run_for(millis(20));
+                if (ending == Ending::fin) server.send_fin();
+                if (ending == Ending::reset) server.send_reset();
+                if (ending == Ending::too_long) server.write(std::string(5000, '7'));
+                if (ending != Ending::reset) {
+                    EXPECT_TRUE(fixture.sees_close(server)) << begun;
+                }
+            }
+            EXPECT_TRUE(fixture.sees_close(client)) << begun;
+            EXPECT_TRUE(client.received.starts_with("BUSY") && client.received.ends_with("\r\n"))
+                << begun << " was answered with '" << client.received << "'";
+            EXPECT_EQ(fixture.count(Counter::requests_established), 0u) << begun;
+        }
+    }
+}
+
+// The answer of the second server counts, not the part of a line that the first one sent.
+TEST(AttemptOutcomes, RequestIsRetriedAfterAnIncompleteFirstLine) {
+    BalancerFixture fixture;
+    Peer client = fixture.connect_client();
+    Peer first = fixture.accept_attempt();
+    first.write("UP 5be2");
+    first.send_fin();
+    Peer second = fixture.accept_attempt();
+    second.write("UP 77");
+    fixture.run_for(millis(20));
+    second.write("01\r\n");
+    EXPECT_TRUE(fixture.receives(client, "\r\n"));
+    EXPECT_EQ(client.received, "UP 7701\r\n");
+    EXPECT_EQ(fixture.count(Counter::incomplete_responses), 1u);
+    EXPECT_EQ(fixture.count(Counter::attempts_error), 1u);
+}
+
 TEST(AttemptOutcomes, AttemptsAtASilentServerTimeOutBeforeTheDeadline) {
     BalancerFixture fixture;
     Peer client = fixture.connect_client();
--- a/tests/upstream/test_server_line.cpp
+++ b/tests/upstream/test_server_line.cpp
@@ -1,5 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "upstream/server_line.h"
 
 namespace headrouter {
@@ -23,11 +27,29 @@
 }
 
 TEST(ServerLine, ResponseOtherThanUpYieldsOutcome) {
-    EXPECT_EQ(outcome_of_response(ServerWord::busy), AttemptOutcome::at_capacity);
-    EXPECT_EQ(outcome_of_response(ServerWord::bye), AttemptOutcome::completed);
-    EXPECT_EQ(outcome_of_response(ServerWord::move), AttemptOutcome::cancelled);
-    EXPECT_EQ(outcome_of_response(ServerWord::error), AttemptOutcome::error);
-    EXPECT_EQ(outcome_of_response(ServerWord::unknown), AttemptOutcome::error);
+    for (const auto& [line, outcome] : {std::pair{"BUSY 20\r\n", AttemptOutcome::at_capacity},
+                                        {"BYE\r\n", AttemptOutcome::completed},
+                                        {"MOVE\r\n", AttemptOutcome::cancelled},
+                                        {"ERR\r\n", AttemptOutcome::error},
+                                        {"what\r\n", AttemptOutcome::error}}) {
+        const ServerResponse response = read_response(line, true);
+        EXPECT_FALSE(response.is_established) << line;
+        EXPECT_EQ(response.outcome, outcome) << line;
+        EXPECT_EQ(response.is_valid, line != std::string_view("what\r\n")) << line;
+    }
+    EXPECT_TRUE(read_response("UP 5be2\r\n", true).is_established);
+}
+
+// A server that dies while it writes must not establish a request, nor prove that the request never ran.
+TEST(ServerLine, ResponseThatIsNotAWholeLineOfTheProtocolIsAnError) {
+    const std::string too_long = "UP " + std::string(4096, '7') + "\r\n";
+    std::vector<std::pair<std::string, bool>> spoilt = {{too_long, true}};
+    for (const char* cut : {"UP 5be2", "BUSY", "BYE", "MOVE", "U"}) spoilt.emplace_back(cut, false);
+    for (const auto& [bytes, is_whole_line] : spoilt) {
+        const ServerResponse response = read_response(bytes, is_whole_line);
+        EXPECT_FALSE(response.is_established || response.is_valid) << bytes;
+        EXPECT_EQ(response.outcome, AttemptOutcome::error) << bytes;
+    }
 }
 
 TEST(ServerLine, ReportValueMustBeFiniteAndNotNegative) {
