A retry of a keyed request is not sent once its deduplication window has passed

Cause: the window was compared with the time at which the attempt is placed. The last check before the first byte looked at client, endpoint and list, not at the window, and the connect was limited by the dial timeout alone.

Evidence: the record's ages at the second run lie 0 to 0.45 s past the window, each after a connection that was 1 s late.

Change: retry_policy::time_left_for_second_run states the rule, RequestPipeline::time_left_to_send applies it when the attempt is placed and right before its first byte; it limits the connect too. An attempt that ends so is not_sent: its server is not blamed. Counter retries_out_of_time, log line retry_out_of_time.

--- a/src/admin/counters.cpp
+++ b/src/admin/counters.cpp
@@ -30,6 +30,7 @@
     {Counter::attempts_reset, "legs_reset"},
     {Counter::attempts_cancelled, "legs_stopped"},
     {Counter::attempts_not_sent, "legs_not_sent"},
+    {Counter::retries_out_of_time, "retries_out_of_time"},
     {Counter::servers_silent, "servers_silent"},
     {Counter::client_lines, "client_lines"},
     {Counter::server_lines, "server_lines"},
--- a/src/admin/counters.h
+++ b/src/admin/counters.h
@@ -32,6 +32,7 @@
     attempts_reset,
     attempts_cancelled,
     attempts_not_sent,
+    retries_out_of_time,
     servers_silent,
     client_lines,
     server_lines,
--- a/src/capture/recording_policy.h
+++ b/src/capture/recording_policy.h
@@ -53,6 +53,10 @@
     [[nodiscard]] const PolicyConfig& config() const { return policy_.config(); }
     /// Returns whether any endpoint list has named the server.
     [[nodiscard]] bool has_server(const ServerId& id) const { return policy_.has_server(id); }
+    /// Returns the time within which the request's latest attempt has to be sent, see BalancingPolicy.
+    [[nodiscard]] std::optional<Duration> time_left_to_send(TimePoint now, RequestId id) const {
+        return policy_.time_left_to_send(now, id);
+    }
     /// Returns the number of listed servers that would get no new connection at `now`.
     [[nodiscard]] int count_unselectable(TimePoint now) const { return policy_.count_unselectable(now); }
 
--- a/src/policy/balancing_policy.cpp
+++ b/src/policy/balancing_policy.cpp
@@ -163,6 +163,11 @@
     }
 }
 
+std::optional<Duration> BalancingPolicy::time_left_to_send(TimePoint now, RequestId id) const {
+    const auto it = requests_.find(id);
+    return it == requests_.end() ? Duration{} : pipeline_.time_left_to_send(now, it->second);
+}
+
 RequestState* BalancingPolicy::find_request(RequestId id, int attempt) {
     const auto it = requests_.find(id);
     if (it == requests_.end()) return nullptr;
--- a/src/policy/balancing_policy.h
+++ b/src/policy/balancing_policy.h
@@ -125,6 +125,9 @@
 
     const PolicyConfig& config() const { return config_; }
     bool has_server(const ServerId& id) const { return servers_.find(id).has_value(); }
+    /// Returns the time within which the request's latest attempt has to be sent: nothing if there is no
+    /// limit, zero or less if it may not be sent, as when the request is unknown.
+    [[nodiscard]] std::optional<Duration> time_left_to_send(TimePoint, RequestId) const;
     /// Returns the number of servers in the endpoint list that would get no new attempt now.
     int count_unselectable(TimePoint now) const { return eligibility::count_unselectable(now, servers_); }
 
--- a/src/policy/request_pipeline.cpp
+++ b/src/policy/request_pipeline.cpp
@@ -23,6 +23,11 @@
 template <class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+// Returns the time since the first attempt that may have run was sent. The request must have such an attempt.
+Duration time_since_first_run(TimePoint now, const RequestState& request) {
+    return now - request.attempts[*request.may_have_run].sent;
+}
+
 }  // namespace
 
 RequestPipeline::RequestPipeline(const Parts& parts)
@@ -82,8 +87,14 @@
     if (static_cast<int>(request.attempts.size()) >= config_.max_attempts) return false;
     if (!request.may_have_run) return true;
     if (!retry_budget_.allows_retry(now)) return false;
-    const Duration since_sent = now - request.attempts[*request.may_have_run].sent;
-    return retry_policy::allows_second_run(config_.request_classes[request.type], since_sent);
+    return retry_policy::allows_second_run(config_.request_classes[request.type],
+                                           time_since_first_run(now, request));
+}
+
+std::optional<Duration> RequestPipeline::time_left_to_send(TimePoint now, const RequestState& request) const {
+    if (!request.may_have_run) return std::nullopt;
+    return retry_policy::time_left_for_second_run(config_.request_classes[request.type],
+                                                  time_since_first_run(now, request));
 }
 
 PickResult RequestPipeline::place(TimePoint now, RequestState& request) {
--- a/src/policy/request_pipeline.h
+++ b/src/policy/request_pipeline.h
@@ -72,6 +72,10 @@
     /// Handles the end of a pending or established attempt whose connection is no longer counted. The request
     /// is removed if that end was final or if the request is answered now.
     void on_attempt_ended(TimePoint now, RequestState&, const AttemptEnd&);
+    /// Returns the time within which the latest attempt of the request has to be sent: nothing if there is no
+    /// limit, zero or less if it may not be sent any more. The window of a retry goes on while its connection
+    /// is set up, so this holds at the moment of sending and not only when the attempt is placed.
+    [[nodiscard]] std::optional<Duration> time_left_to_send(TimePoint now, const RequestState&) const;
 
    private:
     /// Decides the next step for the request.
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -2,13 +2,18 @@
 
 namespace headrouter::retry_policy {
 
-bool allows_second_run(const RequestClass& request_class, Duration since_sent) {
+std::optional<Duration> time_left_for_second_run(const RequestClass& request_class, Duration since_sent) {
     switch (request_class.idempotency) {
-        case Idempotency::idempotent: return true;
-        case Idempotency::keyed: return since_sent < request_class.dedup_window;
-        case Idempotency::non_idempotent: return false;
+        case Idempotency::idempotent: return std::nullopt;
+        case Idempotency::keyed: return request_class.dedup_window - since_sent;
+        case Idempotency::non_idempotent: break;
     }
-    return false;
+    return Duration{};
+}
+
+bool allows_second_run(const RequestClass& request_class, Duration since_sent) {
+    const std::optional<Duration> time_left = time_left_for_second_run(request_class, since_sent);
+    return !time_left || *time_left > Duration{};
 }
 
 DedupScope second_run_scope(const RequestClass& request_class) {
--- a/src/policy/retry_policy.h
+++ b/src/policy/retry_policy.h
@@ -11,6 +11,8 @@
 ///
 /// As long as no attempt may have run, requests of all classes may be sent to any server and may be retried.
 #pragma once
+#include <optional>
+
 #include "base/time.h"
 #include "policy/types.h"
 
@@ -22,8 +24,12 @@
            outcome == AttemptOutcome::not_sent;
 }
 
-/// Returns whether a request that may have run may get a further attempt. `since_sent`: time since the first
-/// attempt that may have run was sent.
+/// Returns how much longer a further attempt of a request that may have run may be sent: nothing if there is
+/// no limit, zero or less if it may not be sent. `since_sent`: time since the first attempt that may have run
+/// was sent.
+std::optional<Duration> time_left_for_second_run(const RequestClass&, Duration since_sent);
+
+/// Returns whether a request that may have run may get a further attempt, if that is sent now.
 bool allows_second_run(const RequestClass&, Duration since_sent);
 
 /// Returns the scope of servers to which a request that may have run is bound; `all`: any server.
--- a/src/router/attempt_handler.cpp
+++ b/src/router/attempt_handler.cpp
@@ -31,8 +31,10 @@
     if (!context_.endpoints.is_active(action.server))
         return on_ended(id, {.outcome = AttemptOutcome::not_sent});
     context_.counters.add(Counter::attempts_started);
-    context_.upstream.start_attempt(id, *address, request->request_line.line_with_wait(timeout),
-                                    context_.config.connect_timeout, timeout);
+    const AttemptTimeouts timeouts{.connect = context_.config.connect_timeout,
+                                   .response = timeout,
+                                   .send = context_.policy.time_left_to_send(now, id)};
+    context_.upstream.start_attempt(id, *address, request->request_line.line_with_wait(timeout), timeouts);
 }
 
 bool AttemptHandler::may_send(RequestId id) {
@@ -40,9 +42,19 @@
     const ActiveRequest* request = context_.active_requests.find(id);
     if (!request) return false;
     if (request->is_adopted) return true;
+    if (!is_in_time_to_send(id)) return false;
     return context_.endpoints.is_active(request->server) && !context_.environment.is_endpoint_list_outdated();
 }
 
+bool AttemptHandler::is_in_time_to_send(RequestId id) {
+    const std::optional<Duration> time_left =
+        context_.policy.time_left_to_send(context_.environment.now(), id);
+    if (!time_left || *time_left > Duration{}) return true;
+    context_.counters.add(Counter::retries_out_of_time);
+    context_.log.debug("retry_out_of_time", {{"request", id}, {"overdue_ms", -time_left->ns / ns_per_ms}});
+    return false;
+}
+
 void AttemptHandler::on_written(RequestId id) {
     ActiveRequest* request = context_.active_requests.find(id);
     if (!request) return context_.counters.add(Counter::late_events);
--- a/src/router/attempt_handler.h
+++ b/src/router/attempt_handler.h
@@ -29,6 +29,8 @@
     void on_ended(RequestId, const AttemptResult&);
 
    private:
+    /// Returns whether the policy's time limit for sending the request's latest attempt has not passed.
+    bool is_in_time_to_send(RequestId);
     void log_attempt_ended(RequestId, const ActiveRequest&, const AttemptResult&, Duration duration);
     /// Ends the client's connection: with the server's last reply if the request was not established, with
     /// MOVE if the server fell silent between two lines, otherwise with FIN or RST as the server's connection
--- a/src/router/request_adopter.cpp
+++ b/src/router/request_adopter.cpp
@@ -27,8 +27,8 @@
     request.attempt_running = true;
     request.attempt_started_at = now;
     const Duration time_left = request.request_line.request.deadline - now;
-    upstream_.start_attempt(id, *address, request.request_line.line, std::min(max_connect_timeout, time_left),
-                            time_left);
+    upstream_.start_attempt(id, *address, request.request_line.line,
+                            {.connect = std::min(max_connect_timeout, time_left), .response = time_left});
 }
 
 void RequestAdopter::schedule_retry(ActiveRequest& request, TimePoint now) {
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -48,6 +48,12 @@
     attempt.timer.start_once(delay);
 }
 
+void Upstream::set_timer_until_sent(Attempt& attempt, Duration delay) {
+    const Duration time_left = attempt.send_deadline ? *attempt.send_deadline - Clock::now() : delay;
+    attempt.timer_is_send_limit = time_left < delay;
+    set_timer(attempt, std::min(time_left, delay));
+}
+
 Upstream::State Upstream::state() const {
     State state;
     state.classifier = classifier_.state();
@@ -99,14 +105,16 @@
 // ---- calls by the request router ----
 
 void Upstream::start_attempt(RequestId id, const Address& address, std::string request_line,
-                             Duration connect_timeout, Duration response_timeout) {
+                             const AttemptTimeouts& timeouts) {
     counters_.must_hold(!find(id));
     attempts_[id] = make_attempt(id);
     Attempt& attempt = *attempts_[id];
     attempt.request_line = std::move(request_line);
     attempt.address = bytes_of(address);
     addresses_.add_attempt(attempt.address);
-    attempt.response_deadline = Clock::now() + response_timeout;
+    const TimePoint now = Clock::now();
+    attempt.response_deadline = now + timeouts.response;
+    if (timeouts.send) attempt.send_deadline = now + *timeouts.send;
     FileDescriptor fd = connect_to(address);
     if (!fd) {
         const bool is_local = is_local_connect_error(errno);
@@ -116,8 +124,9 @@
     }
     attempt.connection = make_connection(std::move(fd), id);
     attempt.connection->start_connecting();
-    const bool has_connect_timeout = connect_timeout.ns > 0;
-    set_timer(attempt, has_connect_timeout ? std::min(connect_timeout, response_timeout) : response_timeout);
+    const bool has_connect_timeout = timeouts.connect.ns > 0;
+    set_timer_until_sent(
+        attempt, has_connect_timeout ? std::min(timeouts.connect, timeouts.response) : timeouts.response);
 }
 
 void Upstream::forward(RequestId id, std::string_view bytes) {
@@ -176,7 +185,7 @@
         return;
     }
     attempt->stage = Stage::sending;
-    set_timer(*attempt, attempt->response_deadline - Clock::now());
+    set_timer_until_sent(*attempt, attempt->response_deadline - Clock::now());
     connection.send(attempt->request_line);  // calls on_output_drained, which may end the attempt
 }
 
@@ -185,6 +194,7 @@
     if (!attempt) return;
     if (attempt->stage == Stage::sending && connection.unsent_bytes() == 0) {
         attempt->stage = Stage::awaiting_response;
+        if (attempt->send_deadline) set_timer(*attempt, attempt->response_deadline - Clock::now());
         events_->on_attempt_written(connection.id());
     }
     if (attempt->stage == Stage::established) events_->on_server_writable(connection.id());
@@ -244,9 +254,12 @@
 void Upstream::on_timeout(RequestId id) {
     const Attempt* attempt = find(id);
     if (!attempt) return;
-    if (attempt->stage == Stage::connecting) addresses_.on_connect_timeout(attempt->address);
-    const AttemptOutcome outcome =
-        attempt->is_unsent() ? AttemptOutcome::connect_failed : AttemptOutcome::timed_out;
+    AttemptOutcome outcome = AttemptOutcome::timed_out;
+    if (attempt->is_unsent())
+        outcome = attempt->timer_is_send_limit ? AttemptOutcome::not_sent : AttemptOutcome::connect_failed;
+    const bool is_connect_timeout =
+        attempt->stage == Stage::connecting && outcome == AttemptOutcome::connect_failed;
+    if (is_connect_timeout) addresses_.on_connect_timeout(attempt->address);
     // This destroys the attempt and with it the timer that called this function.
     end_attempt(id, {outcome, CloseReason::fin, false, {}});
 }
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -30,7 +31,7 @@
     void set_event_handler(UpstreamEvents& events) { events_ = &events; }
 
     void start_attempt(RequestId id, const Address& address, std::string request_line,
-                       Duration connect_timeout, Duration response_timeout) override;
+                       const AttemptTimeouts& timeouts) override;
     void forward(RequestId id, std::string_view bytes) override;
     void close(RequestId id, CloseReason reason) override;
     void pause_reading(RequestId id, bool is_paused) override;
@@ -99,6 +100,10 @@
         RequestId id;
         TimerWatcher timer;
         std::unique_ptr<LineConnection> connection;
+        /// When the request line may no longer be sent. Not transferred: after a hot restart the router's
+        /// `may_send` alone holds an attempt back, whose connection then comes up too late.
+        std::optional<TimePoint> send_deadline;
+        bool timer_is_send_limit = false;  ///< the timer expires at `send_deadline`
 
         /// Returns whether the server cannot have received the whole request line yet.
         bool is_unsent() const { return stage == Stage::connecting || stage == Stage::sending; }
@@ -123,6 +128,8 @@
     std::unique_ptr<LineConnection> make_connection(FileDescriptor socket, RequestId id);
     Attempt* find(RequestId id);
     static void set_timer(Attempt& attempt, Duration delay);
+    /// Sets the timer of an unsent attempt to `delay`, or to the time left to send if that is shorter.
+    static void set_timer_until_sent(Attempt& attempt, Duration delay);
     void end_attempt(RequestId id, AttemptResult result);
 
     void count_unanswered(TimePoint now, Duration process_stall);
--- a/src/upstream/upstream_interface.h
+++ b/src/upstream/upstream_interface.h
@@ -5,6 +5,7 @@
 /// calls are made on the thread of the event loop.
 #pragma once
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,16 +25,25 @@
     std::string_view reply = {};
 };
 
+/// The time limits of an attempt, counted from its start.
+struct AttemptTimeouts {
+    Duration connect;   ///< for the connection to come up; zero for no limit of its own
+    Duration response;  ///< for the server's answer
+
+    /// For the first line to be sent. An attempt that is unsent by then ends as `not_sent`: it ran out of
+    /// time, and its server is not at fault.
+    std::optional<Duration> send = std::nullopt;
+};
+
 /// Controls the attempts of requests on behalf of the request router. A request has at most one attempt at a
 /// time. Unless stated otherwise, a call for an attempt that has ended does nothing.
 class UpstreamInterface {
    public:
     virtual ~UpstreamInterface() = default;
 
-    /// Connects to `address` within `connect_timeout` (zero for no limit of its own) and sends `first_line`.
-    /// The server must answer within `timeout`, counted from this call.
+    /// Connects to `address` and sends `first_line`.
     virtual void start_attempt(RequestId, const Address& address, std::string first_line,
-                               Duration connect_timeout, Duration timeout) = 0;
+                               const AttemptTimeouts& timeouts) = 0;
 
     /// Sends `bytes` to the server. Counts a late event if the request has no established attempt.
     virtual void forward(RequestId, std::string_view bytes) = 0;
--- a/tests/policy/test_retry_policy.cpp
+++ b/tests/policy/test_retry_policy.cpp
@@ -47,6 +47,19 @@
     }
 }
 
+TEST(RetryPolicy, TimeLeftForSecondRunEndsWithTheWindowOfKeyedRequests) {
+    for (const DedupScope scope : every_scope) {
+        EXPECT_EQ(time_left_for_second_run(class_of(Idempotency::idempotent, scope), after_window_end),
+                  std::nullopt);
+        EXPECT_EQ(time_left_for_second_run(class_of(Idempotency::non_idempotent, scope), Duration{}),
+                  Duration{});
+        EXPECT_EQ(time_left_for_second_run(class_of(Idempotency::keyed, scope), before_window_end),
+                  Duration{1});
+        EXPECT_EQ(time_left_for_second_run(class_of(Idempotency::keyed, scope), after_window_end),
+                  Duration{-1});
+    }
+}
+
 TEST(RetryPolicy, OnlyKeyedRequestsAreBoundToTheirScope) {
     for (const DedupScope scope : every_scope) {
         EXPECT_EQ(second_run_scope(class_of(Idempotency::keyed, scope)), scope);
--- a/tests/proxy/balancer_fixture.h
+++ b/tests/proxy/balancer_fixture.h
@@ -12,6 +12,10 @@
     std::string server_address = {};  ///< address of the only listed server; empty: the fixture's listener
     std::string discovery_mode = "push";
     std::string admin_address = {};  ///< empty: no admin server
+    std::string effect = "pure";     ///< of the only request class
+    Duration dedup_window = {};
+    Duration connect_timeout = millis(150);
+    Duration guard_time = seconds(1);
 };
 
 struct BalancerFixture : EventLoopFixture {
@@ -37,9 +41,13 @@
                 "hostPort":")" +
                 server + R"(","zone":"a","lifecycle":"SERVING","weight":1,"startedAtMs":0}]},
                 "settings":{"discovery":")" +
-                options.discovery_mode + R"(","ceilings":{"maxLegs":2,"dialTimeoutNs":150000000},
+                options.discovery_mode + R"(","ceilings":{"maxLegs":2,"dialTimeoutNs":)" +
+                std::to_string(options.connect_timeout.ns) + R"(},
                 "invariants":{"coldNs":0,"askEveryNs":4000000000},"failureDomains":["a"],"realms":[],"trafficTypes":[{"name":"chat",
-                "effect":"pure","setupTargetNs":800000000,"guardTimeNs":1000000000}]}})",
+                "effect":")" +
+                options.effect + R"(","windowNs":)" + std::to_string(options.dedup_window.ns) +
+                R"(,"keyScope":"all","setupTargetNs":800000000,"guardTimeNs":)" +
+                std::to_string(options.guard_time.ns) + R"(}]}})",
             clock);
         balancer = std::make_unique<Balancer>(loop, config, clock, log);
         balancer->start();
--- a/tests/proxy/socket_peers.h
+++ b/tests/proxy/socket_peers.h
@@ -92,6 +92,27 @@
     }
 };
 
+/// Fills the queue of a listener while it exists: a connection that is begun then comes up about one second
+/// later, when the kernel repeats its first packet, or never.
+class FullBacklog {
+   public:
+    explicit FullBacklog(const Listener& listener) : listener_(listener) {
+        listen(listener_.fd.get(), 0);
+        filler_ = connect_to(*Address::from(listener_.address));
+        EXPECT_TRUE(filler_);
+    }
+    FullBacklog(const FullBacklog&) = delete;
+    FullBacklog& operator=(const FullBacklog&) = delete;
+    ~FullBacklog() {
+        listen(listener_.fd.get(), 128);
+        listener_.try_accept();  // the filler's connection
+    }
+
+   private:
+    const Listener& listener_;
+    FileDescriptor filler_;
+};
+
 /// Returns an address for a balancer to listen at. Its port was free a moment ago, and no other process uses
 /// its loopback host, which is derived from this process's id.
 inline std::string unused_address() {
--- a/tests/proxy/test_attempt_outcomes.cpp
+++ b/tests/proxy/test_attempt_outcomes.cpp
@@ -73,6 +73,35 @@
     EXPECT_EQ(fixture.count(Counter::attempts_error), 1u);
 }
 
+// The servers know a repeat for the deduplication window only. A retry whose connection comes up after that
+// window must not be sent: its server would run the request a second time.
+TEST(AttemptOutcomes, RetryIsNotSentOnceItsDeduplicationWindowHasPassed) {
+    BalancerFixture fixture({.effect = "token",
+                             .dedup_window = millis(400),
+                             .connect_timeout = millis(1500),
+                             .guard_time = seconds(3)});
+    Peer client = fixture.connect_client("c=chat,d=2900");
+    Peer server = fixture.accept_attempt();
+    const TimePoint sent = Clock::now();
+    {
+        const FullBacklog late_connections(fixture.server_listener);
+        server.send_reset();
+        fixture.run_for(millis(800));
+        EXPECT_EQ(fixture.count(Counter::attempts_started), 2u);
+    }
+    client.read();
+    EXPECT_TRUE(client.received.starts_with("BUSY"));  // all servers recognise a repeat: the client may retry
+    EXPECT_EQ(fixture.count(Counter::attempts_not_sent), 1u);
+    EXPECT_EQ(fixture.count(Counter::attempts_connect_failed), 0u);  // the server had no time to fail
+    while (Clock::now() - sent < millis(2500)) {
+        fixture.run_for(millis(10));
+        if (std::optional<Peer> late = fixture.server_listener.try_accept()) {
+            EXPECT_TRUE(fixture.sees_close(*late));
+            EXPECT_EQ(late->received, "");
+        }
+    }
+}
+
 TEST(AttemptOutcomes, AttemptsAtASilentServerTimeOutBeforeTheDeadline) {
     BalancerFixture fixture;
     Peer client = fixture.connect_client();
--- a/tests/router/router_fixture.h
+++ b/tests/router/router_fixture.h
@@ -7,16 +7,19 @@
 #include "policy_helpers.h"
 #include "router/request_router.h"
 
-/// Two request classes: "chat" is idempotent, "pay" is not.
+/// Three request classes: "chat" is idempotent, "pay" is not, "book" is keyed.
 inline const std::string router_settings = R"({"az":0,"discovery":"push","stepNs":2000000,
 "ceilings":{"maxLegs":3,"retryAfter":true,"maxRetryAfterNs":1500000000,"dialTimeoutNs":150000000},
 "invariants":{"coldNs":8700000000},"domain":{"groups":true,"tellsDelay":true,"messageAimNs":[60000000,60000000]},
 "realms":[{"name":"x"},{"name":"y"}],"failureDomains":["a","b"],
 "trafficTypes":[{"name":"chat","effect":"pure","setupTargetNs":800000000,"guardTimeNs":3200000000},
-{"name":"pay","effect":"side_effect","setupTargetNs":800000000,"guardTimeNs":3200000000}]})";
+{"name":"pay","effect":"side_effect","setupTargetNs":800000000,"guardTimeNs":3200000000},
+{"name":"book","effect":"token","keyScope":"all","windowNs":1000000000,"setupTargetNs":800000000,
+"guardTimeNs":3200000000}]})";
 
 inline const std::string chat_request = "c=chat,t=x,d=2000,g=q";
 inline const std::string pay_request = "c=pay,t=x,d=2000,g=q";
+inline const std::string book_request = "c=book,t=x,d=3000,g=q";
 
 using Lines = std::vector<std::string>;
 
@@ -45,10 +48,13 @@
 /// Records the bytes that the router sends to servers, and the actions "close", "reset", "pause", "resume".
 struct FakeUpstream : UpstreamInterface {
     Lines actions;
+    AttemptTimeouts timeouts;  ///< of the latest attempt
     std::function<void(RequestId)> on_start_attempt;
 
-    void start_attempt(RequestId id, const Address&, std::string line, Duration, Duration) override {
+    void start_attempt(RequestId id, const Address&, std::string line,
+                       const AttemptTimeouts& attempt_timeouts) override {
         actions.push_back(line);
+        timeouts = attempt_timeouts;
         if (on_start_attempt) on_start_attempt(id);
     }
     void forward(RequestId, std::string_view bytes) override { actions.emplace_back(bytes); }
--- a/tests/router/test_request_router.cpp
+++ b/tests/router/test_request_router.cpp
@@ -66,6 +66,58 @@
     EXPECT_EQ(fixture.downstream.actions, (Lines{"reply 2 ERR\r\n", "reply 3 BUSY\r\n", "reply 4 BUSY\r\n"}));
 }
 
+// While the connection of a retry is set up, the deduplication window goes on: the last check before the
+// first byte must see it, not only the one that places the attempt.
+TEST(RequestRouter, HoldsBackRetryWhoseDeduplicationWindowPassedDuringConnect) {
+    RouterFixture fixture;
+    fixture.open(1, book_request);
+    EXPECT_FALSE(fixture.upstream.timeouts.send.has_value());  // nothing has run, so any server may run it
+    fixture.advance(millis(1200));
+    EXPECT_TRUE(fixture.router.may_send(1));
+    RouterFixture retried;
+    retried.open(1, book_request);
+    retried.router.on_attempt_written(1);
+    retried.advance(millis(300));
+    retried.reset_attempt(1);
+    EXPECT_EQ(retried.upstream.actions.size(), 2u);
+    EXPECT_EQ(retried.upstream.timeouts.send, millis(700));
+    retried.advance(millis(699));
+    EXPECT_TRUE(retried.router.may_send(1));
+    retried.advance(millis(1));
+    EXPECT_FALSE(retried.router.may_send(1));
+    EXPECT_EQ(retried.counters[Counter::retries_out_of_time], 1);
+    retried.end_attempt(1, AttemptOutcome::not_sent, CloseReason::fin);
+    EXPECT_EQ(retried.upstream.actions.size(), 2u);
+    EXPECT_EQ(retried.downstream.actions.back().substr(0, 12), "reply 1 BUSY");
+}
+
+// The process that takes over gets the policy's state and must hold the same retry back.
+TEST(RequestRouter, HoldsBackRetryOfAnEarlierProcessOnceItsWindowHasPassed) {
+    RouterFixture earlier;
+    earlier.open(1, book_request);
+    earlier.router.on_attempt_written(1);
+    earlier.reset_attempt(1);
+    RouterFixture next;
+    next.router.restore(earlier.router.state());
+    EXPECT_TRUE(next.router.may_send(1));
+    next.advance(seconds(1));
+    EXPECT_FALSE(next.router.may_send(1));
+}
+
+// A configuration with a shorter window applies to a retry that is on its way.
+TEST(RequestRouter, HoldsBackRetryIfAReloadShortensItsWindow) {
+    RouterFixture fixture;
+    fixture.open(1, book_request);
+    fixture.router.on_attempt_written(1);
+    fixture.reset_attempt(1);
+    fixture.advance(millis(500));
+    EXPECT_TRUE(fixture.router.may_send(1));
+    ClusterConfig config = parse_cluster_config(router_settings);
+    config.policy.request_classes[2].dedup_window = millis(400);
+    fixture.router.reconfigure(config);
+    EXPECT_FALSE(fixture.router.may_send(1));
+}
+
 // The first attempt was written and reset, the second one was rejected: the request may have run in the
 // first.
 TEST(RequestRouter, AnswersErrIfRequestMayHaveRunBeforeItsLastAttemptWasRejected) {
