A local discovery agent is heard however late its answers are

Cause: a silent connection and a slow agent were both given up 0.4 s after the wait of a watch, later ones after 0.25 s in all, by closing the connection. No failure made these times longer, so no late answer was ever read. Longer times would find a silent connection later than the shortest drain grace period.

Evidence: the record's answers all end in '(the connection was closed)'.

Change: a late request stays open (LatePolls) beside the next one, which is sent as early as before; whichever is answered first brings the list, an overtaken answer is dropped. Counter list_answers_late.

--- a/src/admin/counters.cpp
+++ b/src/admin/counters.cpp
@@ -52,6 +52,7 @@
     {Counter::endpoint_updates, "lists_told"},
     {Counter::endpoint_updates_malformed, "lists_garbled"},
     {Counter::discovery_requests_failed, "list_calls_failed"},
+    {Counter::discovery_responses_late, "list_answers_late"},
     {Counter::reloads, "reloads"},
     {Counter::reloads_refused, "reloads_refused"},
     {Counter::refused_for_descriptors, "refused_for_descriptors"},
--- a/src/admin/counters.h
+++ b/src/admin/counters.h
@@ -54,6 +54,7 @@
     endpoint_updates,
     endpoint_updates_malformed,
     discovery_requests_failed,
+    discovery_responses_late,
     reloads,
     reloads_refused,
     refused_for_descriptors,
--- a/src/discovery/http_client.cpp
+++ b/src/discovery/http_client.cpp
@@ -39,6 +39,8 @@
       timeout_timer_(loop, [this] { fail(HttpError::timed_out); }) {}
 
 void HttpClient::close() {
+    is_waiting_ = false;
+    timeout_timer_.stop();
     io_watcher_.stop();
     fd_.close();
 }
@@ -108,8 +110,6 @@
 }
 
 void HttpClient::fail(HttpError error) {
-    is_waiting_ = false;
-    timeout_timer_.stop();
     close();
     events_.on_http_error(error, was_reached_);
 }
--- a/src/discovery/http_client.h
+++ b/src/discovery/http_client.h
@@ -45,9 +45,14 @@
     /// reported before get() returns.
     void get(const std::string& target, Duration timeout);
 
-    /// Closes the connection; the next request opens a new one.
+    /// Drops the request in flight, if any, and closes the connection; the next request opens a new one.
     void close();
 
+    /// Returns whether a request is in flight.
+    bool is_waiting() const { return is_waiting_; }
+    /// Returns whether bytes have been received since the last request was sent.
+    bool was_reached() const { return was_reached_; }
+
    private:
     void on_ready(int ready_events);
     [[nodiscard]] bool send_pending();
--- a/src/discovery/poll_backoff.cpp
+++ b/src/discovery/poll_backoff.cpp
@@ -14,6 +14,9 @@
 constexpr Duration agent_watch_time = seconds(0.5);
 constexpr Duration agent_watch_timeout = seconds(0.4);
 constexpr Duration agent_snapshot_timeout = seconds(0.7);
+// An agent that is only slow answers after these times. Its answer is awaited as long as the longest watch
+// that the protocol allows.
+constexpr Duration agent_late_response_timeout = seconds(60);
 // While the agent is down, requests follow in quick succession, each on a new connection: the kernel
 // repeats an unanswered connect only after one second, then after two.
 constexpr Duration failing_agent_watch_time = millis(50);
@@ -83,6 +86,10 @@
     return is_failing_ ? failing_agent_watch_timeout : agent_watch_timeout;
 }
 
+Duration PollBackoff::late_response_timeout() const {
+    return is_shared() ? Duration{} : agent_late_response_timeout;
+}
+
 // Balancers that were rejected together received the same Retry-After: each waits at least that long, plus a
 // random time of up to the same length.
 Duration PollBackoff::next_pause(PollFailure failure, Duration retry_after) {
--- a/src/discovery/poll_backoff.h
+++ b/src/discovery/poll_backoff.h
@@ -32,6 +32,10 @@
     /// `is_snapshot_request`: whether the request is for the whole list.
     Duration response_timeout(bool is_snapshot_request) const;
 
+    /// Returns how long a request may be answered in all, if others are sent meanwhile; zero if a request is
+    /// given up at its response timeout.
+    Duration late_response_timeout() const;
+
     /// Records a failure and returns the pause before the next request, which grows with consecutive
     /// failures. `retry_after`: delay that the service asked for, zero if none.
     Duration next_pause(PollFailure failure, Duration retry_after = {});
--- a/src/discovery/watch_client.cpp
+++ b/src/discovery/watch_client.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "transport/clock.h"
+
 namespace headrouter {
 
 namespace {
@@ -16,7 +18,9 @@
 WatchClient::WatchClient(struct ev_loop* loop, const Address& address, std::string host,
                          const ClusterConfig& config, const Clock& clock, PollBackoff backoff,
                          Counters& counters, Log& log, UpdateHandler on_update)
-    : http_(loop, address, std::move(host), *this),
+    : loop_(loop),
+      address_(address),
+      host_(std::move(host)),
       config_(config),
       clock_(clock),
       backoff_(backoff),
@@ -24,6 +28,7 @@
       log_(log),
       update_handler_(std::move(on_update)),
       pause_timer_(loop, [this] { request_update(); }),
+      overdue_timer_(loop, [this] { on_overdue(); }),
       staleness_(Clock::now()) {}
 
 void WatchClient::start() { request_update(); }
@@ -37,15 +42,26 @@
 }
 
 void WatchClient::request_update() {
-    std::string target = "/v1/servers";
+    PollRequest request;
     Duration timeout = backoff_.response_timeout(!has_list_);
     if (has_list_) {
-        const Duration watch_time = backoff_.watch_time();
-        target +=
-            "?since=" + std::to_string(version_) + "&timeout_ms=" + std::to_string(watch_time.ns / ns_per_ms);
-        timeout = timeout + watch_time;
+        request = {version_, backoff_.watch_time()};
+        timeout = timeout + request.watch_time;
+    }
+    if (!current_) {
+        PollConnectionEvents& events = *this;
+        current_ = std::make_unique<PollConnection>(loop_, address_, host_, events);
     }
-    http_.get(target, timeout);
+    const Duration late_timeout = backoff_.late_response_timeout();
+    const bool is_kept_when_late = late_timeout > timeout;
+    if (is_kept_when_late) overdue_timer_.start_once(timeout);
+    current_->send(request, is_kept_when_late ? late_timeout : timeout);
+}
+
+void WatchClient::on_overdue() {
+    const bool was_reached = current_->was_reached();
+    late_polls_.add(std::move(current_), Clock::now());
+    fail_unreachable(describe(HttpError::timed_out), was_reached);
 }
 
 void WatchClient::fail(std::string_view reason, bool was_reached, Duration pause) {
@@ -53,7 +69,8 @@
     counters_.add(Counter::discovery_requests_failed);
     if (!is_failing_) log_.warning("discovery_request_failed", {{"reason", reason}});
     is_failing_ = true;
-    http_.close();
+    overdue_timer_.stop();
+    if (current_) current_->close();
     pause_timer_.start_once(pause);
 }
 
@@ -61,17 +78,30 @@
     fail(reason, was_reached, backoff_.next_pause(PollFailure::unreachable));
 }
 
+// Late responses refer to the list that is now in doubt, so they are dropped.
 void WatchClient::refetch_after(std::string_view reason) {
     has_list_ = false;
+    late_polls_.close_all();
     fail_unreachable(reason, true);
 }
 
-void WatchClient::on_http_error(HttpError error, bool was_reached) {
+// The failure of an overdue request was recorded when it became overdue.
+void WatchClient::on_error(PollConnection& connection, HttpError error, bool was_reached) {
+    if (is_late(connection)) return;
     fail_unreachable(describe(error), was_reached);
 }
 
-void WatchClient::on_response(const HttpResponse& response) {
+void WatchClient::on_response(PollConnection& connection, const HttpResponse& response) {
+    if (is_late(connection)) {
+        counters_.add(Counter::discovery_responses_late);
+        const Duration age = Clock::now() - connection.sent_at();
+        log_.debug("discovery_response_late",
+                   {{"after_ms", age.ns / ns_per_ms}, {"status", response.status}});
+    } else {
+        overdue_timer_.stop();
+    }
     if (response.status != status_ok) {
+        if (is_late(connection)) return connection.close();
         fail("the response status is not 200", true,
              backoff_.next_pause(PollFailure::rejected, response.retry_after));
         return;
@@ -83,41 +113,56 @@
         counters_.add(Counter::endpoint_updates_malformed);
         log_.warning("endpoint_list_malformed", {{"reason", error.what()}});
         // The snapshot also contains the changes that this response failed to deliver.
+        if (is_late(connection)) return connection.close();
         refetch_after("the endpoint list is malformed");
         return;
     }
-    on_update(update);
+    on_update(connection, update);
 }
 
-void WatchClient::on_update(const EndpointUpdate& update) {
+void WatchClient::on_update(PollConnection& connection, const EndpointUpdate& update) {
     if (update.unreadable_entries > 0) {
         counters_.add(Counter::endpoint_updates_malformed);
         log_.warning("endpoints_unreadable", {{"endpoints", update.unreadable_entries}});
     }
-    if (!update.is_snapshot && !has_list_) {
-        fail_unreachable("received a delta in place of a snapshot", true);
+    const bool lacks_snapshot = !update.is_snapshot && !has_list_;
+    const bool is_older = has_list_ && update.version < version_;
+    // A late response may have reported newer changes meanwhile.
+    const bool is_overtaken = is_older && (is_late(connection) || connection.since() != version_);
+    if (is_late(connection)) {
+        connection.close();
+        if (!lacks_snapshot && !is_overtaken) accept(update);
         return;
     }
-    if (!update.is_snapshot && update.version < version_) {
-        // The service's version count has restarted: its delta may lack changes that this balancer has not
-        // received.
-        refetch_after("the version of the endpoint list decreased");
+    if (lacks_snapshot) {
+        fail_unreachable("received a delta in place of a snapshot", true);
         return;
     }
+    if (is_older && !is_overtaken) {
+        // The service's version count has restarted: late responses count by the old one, and a delta may
+        // lack changes that this balancer has not received.
+        if (!update.is_snapshot) return refetch_after("the version of the endpoint list decreased");
+        late_polls_.close_all();
+    }
     if (is_failing_) log_.info("discovery_recovered");
     is_failing_ = false;
+    const bool has_changes = !is_overtaken && accept(update);
+    if (has_changes)
+        request_update();
+    else
+        pause_timer_.start_once(pause_after_empty_update);
+}
+
+bool WatchClient::accept(const EndpointUpdate& update) {
     backoff_.on_success();
     staleness_.on_list_received(Clock::now());
     version_ = update.version;
     has_list_ = true;
     const bool is_empty = !update.is_snapshot && update.entries.empty();
-    if (is_empty) {
-        pause_timer_.start_once(pause_after_empty_update);
-        return;
-    }
+    if (is_empty) return false;
     counters_.add(Counter::endpoint_updates);
     update_handler_(*this, update);
-    request_update();
+    return true;
 }
 
 }  // namespace headrouter
--- a/src/discovery/watch_client.h
+++ b/src/discovery/watch_client.h
@@ -1,7 +1,9 @@
 /// Keeps the endpoint list of one discovery address up to date over HTTP/1.1: fetches a snapshot first,
-/// then sends one watch after the other for the changes.
+/// then sends one watch after the other for the changes. A request whose response is late is kept open beside
+/// the next one, see LatePolls.
 #pragma once
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -9,15 +11,16 @@
 #include "admin/log.h"
 #include "discovery/endpoint_staleness.h"
 #include "discovery/endpoint_update.h"
-#include "discovery/http_client.h"
+#include "discovery/late_polls.h"
 #include "discovery/poll_backoff.h"
+#include "discovery/poll_connection.h"
 #include "transport/event_watcher.h"
 
 namespace headrouter {
 
 /// Requests the endpoint list and passes its updates on. Runs on the thread of the event loop. All
 /// constructor arguments passed by reference must outlive it.
-class WatchClient : private HttpClientEvents {
+class WatchClient : private PollConnectionEvents {
    public:
     /// Called with each snapshot, and with each delta that is not empty. The callee may destroy other watch
     /// clients, but not `source`.
@@ -36,7 +39,7 @@
     void start_from(int64_t version);
 
     /// Returns the version of the list as this client knows it; -1 if the whole list has to be fetched.
-    int64_t version() const { return has_list_ ? version_ : unknown_version; }
+    int64_t version() const { return has_list_ ? version_ : unknown_list_version; }
 
     bool is_stale(TimePoint now) const { return staleness_.is_stale(now); }
     TimePoint fresh_until() const { return staleness_.fresh_until(); }
@@ -45,17 +48,22 @@
     void set_fresh_until(TimePoint fresh_until) { staleness_ = EndpointStaleness(fresh_until); }
 
    private:
-    static constexpr int64_t unknown_version = -1;
-
     void request_update();
-    void on_response(const HttpResponse& response) override;
-    void on_http_error(HttpError error, bool was_reached) override;
-    void on_update(const EndpointUpdate& update);
+    void on_response(PollConnection& connection, const HttpResponse& response) override;
+    void on_error(PollConnection& connection, HttpError error, bool was_reached) override;
+    void on_overdue();
+    void on_update(PollConnection& connection, const EndpointUpdate& update);
+    /// Takes over the list or delta and passes it on. Returns whether it has any entries, or is a snapshot.
+    bool accept(const EndpointUpdate& update);
+    /// Returns whether the response of the connection is late: another request has been sent since.
+    bool is_late(const PollConnection& connection) const { return &connection != current_.get(); }
     void refetch_after(std::string_view reason);
     void fail(std::string_view reason, bool was_reached, Duration pause);
     void fail_unreachable(std::string_view reason, bool was_reached);
 
-    HttpClient http_;
+    struct ev_loop* loop_;
+    Address address_;
+    std::string host_;
     const ClusterConfig& config_;
     const Clock& clock_;
     PollBackoff backoff_;
@@ -63,6 +71,9 @@
     Log& log_;
     UpdateHandler update_handler_;
     TimerWatcher pause_timer_;
+    TimerWatcher overdue_timer_;  // of the current request, if that is kept open when its response is late
+    std::unique_ptr<PollConnection> current_;  // of the latest request; null once that is overdue
+    LatePolls late_polls_;
     EndpointStaleness staleness_;
     bool has_list_ = false;
     bool is_failing_ = false;  // the last request failed, and that has been logged
