A send reports a broken connection in the next event, not inside the call

Cause: LineConnection::send reported the end of a broken connection inside the call, which removes the request that the caller of Downstream::forward goes on to use (AttemptHandler::on_established, RequestRouter::on_server_bytes).

Change: send only hands bytes to the kernel; the socket of a broken connection counts as writable, so the watcher reports the end in the loop's next event. The contract stands in line_connection.h.

--- a/src/transport/line_connection.cpp
+++ b/src/transport/line_connection.cpp
@@ -58,7 +58,10 @@
 void LineConnection::send(std::string_view bytes) {
     if (is_closed() || is_finishing_) return;
     output_.append(bytes);
-    if (!is_connecting_) write_output();
+    const size_t unsent_before = unsent_bytes();
+    // The watcher reports a broken connection at its next event, as the socket then counts as writable.
+    const bool is_intact = is_connecting_ || send_to_kernel();
+    if (is_intact && !is_connecting_) on_bytes_sent(unsent_before);
     update_buffered_total();
     update_watcher();
 }
@@ -172,6 +175,10 @@
         if (!is_closed()) report_closed(CloseReason::reset);
         return;
     }
+    on_bytes_sent(unsent_before);
+}
+
+void LineConnection::on_bytes_sent(size_t unsent_before) {
     compact_output();
     if (unsent_bytes() == 0 && is_finishing_ && !fin_sent_) send_fin();
     if (unsent_bytes() < unsent_before && owner_) owner_->on_output_drained(*this);
--- a/src/transport/line_connection.h
+++ b/src/transport/line_connection.h
@@ -64,7 +64,9 @@
     /// Waits until the pending connect of the socket has finished. Nothing is sent before that.
     void start_connecting();
 
-    /// Sends as many bytes as the kernel accepts now, and buffers the rest until the socket is writable.
+    /// Sends as many bytes as the kernel accepts now, and buffers the rest until the socket is writable. May
+    /// report on_output_drained, but neither received bytes nor the end of the connection: a caller may use
+    /// what these would end, and the next event of the loop reports them.
     void send(std::string_view bytes);
 
     /// Pauses or resumes reading. While paused, received bytes stay in the kernel.
@@ -129,6 +131,7 @@
     void deliver_lines(size_t new_bytes);
     void write_output();
     bool send_to_kernel();
+    void on_bytes_sent(size_t unsent_before);
     void compact_output();
     void send_fin();
     void report_closed(CloseReason);
--- a/tests/proxy/test_attempt_outcomes.cpp
+++ b/tests/proxy/test_attempt_outcomes.cpp
@@ -102,6 +102,34 @@
     }
 }
 
+// The balancer finds out that the client has left when it forwards the server's line. Run under
+// AddressSanitizer: the request must not be used after it was removed for that reason.
+TEST(AttemptOutcomes, ClientThatResetsWhileItsServersLineArrivesEndsItsRequest) {
+    for (const bool is_established : {false, true}) {
+        BalancerFixture fixture;
+        constexpr int requests = 16;
+        std::vector<EstablishedRequest> pairs;
+        for (int k = 0; k < requests; ++k) {
+            if (is_established) {
+                pairs.push_back(fixture.establish());
+            } else {
+                Peer client = fixture.connect_client();
+                Peer server = fixture.accept_attempt();
+                pairs.push_back({std::move(client), std::move(server)});
+            }
+        }
+        // Both events are pending when the loop runs, and in both orders.
+        for (int k = 0; k < requests; ++k) {
+            if (k % 2 == 0) pairs[k].client.send_reset();
+            pairs[k].server.write(is_established ? "a line\r\nand a part" : "UP r\r\n");
+            if (k % 2 == 1) pairs[k].client.send_reset();
+        }
+        for (EstablishedRequest& pair : pairs) EXPECT_TRUE(fixture.sees_close(pair.server));
+        EXPECT_TRUE(
+            fixture.run_until([&] { return fixture.count(Counter::requests_left_by_client) == requests; }));
+    }
+}
+
 TEST(AttemptOutcomes, AttemptsAtASilentServerTimeOutBeforeTheDeadline) {
     BalancerFixture fixture;
     Peer client = fixture.connect_client();
