A shutdown ends in time beside clients that come again at once

What operators saw (review): after SIGTERM no answer to STATUS, memory growing, an end only by SIGKILL, with 64 silent clients that connect again as soon as they are turned away.

Cause: ClientListener::accept_backlog went on until the queue was empty, so the peers decided when it ended.

Change: a call accepts at most the length of the queue, so that all who waited when it began are answered. Counter backlog_turns_cut.

--- a/src/admin/counters.cpp
+++ b/src/admin/counters.cpp
@@ -59,6 +59,7 @@
     {Counter::refused_for_memory, "refused_for_memory"},
     {Counter::refused_for_outdated_list, "refused_for_outdated_list"},
     {Counter::accepts_failed, "accepts_failed"},
+    {Counter::backlog_turns_cut, "backlog_turns_cut"},
     {Counter::admin_requests, "ops_calls"},
     {Counter::admin_requests_refused, "ops_calls_refused"},
     {Counter::admin_connections_cut, "ops_cut"},
--- a/src/admin/counters.h
+++ b/src/admin/counters.h
@@ -61,6 +61,7 @@
     refused_for_memory,
     refused_for_outdated_list,
     accepts_failed,
+    backlog_turns_cut,
     admin_requests,
     admin_requests_refused,
     admin_connections_cut,
--- a/src/downstream/client_listener.cpp
+++ b/src/downstream/client_listener.cpp
@@ -14,6 +14,9 @@
 // Small, so that connected clients are served between two batches.
 constexpr int max_accepts_per_event = 16;
 
+// The length of the queue: all that waited in it when accept_backlog() was called are accepted by that call.
+constexpr int max_backlog_accepts = SOMAXCONN;
+
 FileDescriptor open_spare_descriptor() { return FileDescriptor(::open("/dev/null", O_RDONLY | O_CLOEXEC)); }
 
 // Without a pause, the event loop would report the socket again at once for as long as waiting clients cannot
@@ -57,7 +60,8 @@
 bool ClientListener::accept_backlog(const Handler& handler) {
     bool had_clients = false;
     int failures = 0;
-    while (failures < max_accepts_per_event) {
+    // Clients that come again as soon as they are turned away would otherwise keep the queue filled for ever.
+    for (int accepts = 0; accepts < max_backlog_accepts && failures < max_accepts_per_event; ++accepts) {
         FileDescriptor client = accept_one();
         if (!client) {
             const AcceptError error = classify_accept_error(errno);
@@ -71,6 +75,7 @@
         handler(std::move(client));
         had_clients = true;
     }
+    counters_.add(Counter::backlog_turns_cut);
     return true;
 }
 
--- a/src/downstream/client_listener.h
+++ b/src/downstream/client_listener.h
@@ -26,9 +26,9 @@
     /// process that shares the socket.
     void pause(bool paused);
 
-    /// Accepts all waiting connections and passes them to `handler`. Returns false if there were none.
-    /// Returns true also if accepting failed and connections may still be waiting: the caller has to try
-    /// again.
+    /// Accepts the waiting connections, up to the length of the queue, and passes them to `handler`. Returns
+    /// false if there were none. Returns true also if accepting failed, or was cut off because clients keep
+    /// coming, and connections may still be waiting: the caller has to try again.
     bool accept_backlog(const Handler& handler);
 
     int descriptor() const { return socket_.get(); }
--- a/src/downstream/downstream.h
+++ b/src/downstream/downstream.h
@@ -64,7 +64,8 @@
     /// without a request.
     void dismiss_idle(bool all);
 
-    /// Answers all connections in the accept queue with BUSY. Returns false if the queue was empty.
+    /// Answers the connections in the accept queue with BUSY. Returns false if the queue was empty.
+    /// Connections that come meanwhile may be left in it.
     bool reject_backlog();
 
     size_t size() const { return clients_.size(); }
--- a/tests/proxy/test_graceful_shutdown.cpp
+++ b/tests/proxy/test_graceful_shutdown.cpp
@@ -1,4 +1,7 @@
 /// Tests of graceful shutdown, including processes that are stopped (SIGSTOP) meanwhile.
+#include <atomic>
+#include <thread>
+
 #include "proxy/balancer_fixture.h"
 #include "proxy/process_fixture.h"
 
@@ -36,6 +39,71 @@
     EXPECT_EQ(WEXITSTATUS(status), 0);
 }
 
+namespace {
+
+/// Clients that send nothing and connect again as soon as they are turned away, each in a thread.
+class InsistentClients {
+   public:
+    InsistentClients(const std::string& address, int count) {
+        for (int k = 0; k < count; ++k) threads_.emplace_back([this, address] { insist(address); });
+    }
+    InsistentClients(const InsistentClients&) = delete;
+    InsistentClients& operator=(const InsistentClients&) = delete;
+    ~InsistentClients() {
+        is_over_ = true;
+        for (std::thread& thread : threads_) thread.join();
+    }
+
+   private:
+    void insist(const std::string& text) const {
+        const Address address = *Address::from(text);
+        while (!is_over_) {
+            const FileDescriptor fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+            const timeval limit{.tv_sec = 0, .tv_usec = 200'000};
+            setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+            if (connect(fd.get(), reinterpret_cast<const sockaddr*>(&address.bytes), address.size) != 0) {
+                usleep(1000);
+                continue;
+            }
+            char bytes[64];
+            while (!is_over_ && (recv(fd.get(), bytes, sizeof bytes, 0) > 0 || errno == EAGAIN)) errno = 0;
+        }
+    }
+
+    std::atomic<bool> is_over_{false};
+    std::vector<std::thread> threads_;
+};
+
+}  // namespace
+
+// Each client that is turned away puts another connection into the queue. A process that answers the queue
+// until it is empty would stay there: without an answer to STATUS, with growing memory, until it is killed.
+TEST(GracefulShutdown, EndsInTimeBesideClientsThatComeAgainAtOnce) {
+    ProcessFixture fixture;
+    const auto program = fixture.start();
+    const InsistentClients clients(fixture.listen_address, 64);
+    fixture.run_for(seconds(0.2));
+    kill(program.pid, SIGTERM);
+    const TimePoint begun = Clock::now();
+    const Duration shutdown_time =
+        seconds(1.4);  // the longest deadline of the settings and the last bytes' time
+    int status = -1;
+    bool has_ended = false;
+    while (!has_ended && Clock::now() - begun < shutdown_time + seconds(1)) {
+        const TimePoint asked = Clock::now();
+        const std::string reply = fixture.admin_reply(program, "STATUS");
+        EXPECT_LT(Clock::now() - asked, seconds(1));
+        // Only a process that ends leaves a command unanswered.
+        has_ended = reply.empty() ? fixture.exits(program.pid, status)
+                                  : waitpid(program.pid, &status, WNOHANG) == program.pid;
+        EXPECT_TRUE(has_ended || !reply.empty());
+        fixture.run_for(millis(100));
+    }
+    EXPECT_TRUE(has_ended);
+    EXPECT_TRUE(WIFEXITED(status));
+    EXPECT_EQ(WEXITSTATUS(status), 0);
+}
+
 // The line arrives in pieces, the last piece when all other clients have disconnected; a second SIGTERM has
 // no effect.
 TEST(GracefulShutdown, WaitsForTheRestOfAPartialRequestLine) {
