A BUSY before its attempt was written does not hide an earlier run

Cause: may_have_run_before_attempt was set at the event that the line was written. A BUSY before that event restored the value from before the attempt before.

Change: the value is set when the attempt starts.

--- a/src/router/attempt_handler.cpp
+++ b/src/router/attempt_handler.cpp
@@ -24,6 +24,7 @@
     request->server = action.server;
     request->attempt_started_at = now;
     request->attempt_running = true;
+    request->may_have_run_before_attempt = request->may_have_run;
     const Duration time_left = std::max(request->request_line.request.deadline - now, Duration{});
     const Duration timeout = action.timeout.ns > 0 ? std::min(action.timeout, time_left) : time_left;
     const std::optional<Address> address = context_.endpoints.address_of(action.server);
@@ -58,7 +59,6 @@
 void AttemptHandler::on_written(RequestId id) {
     ActiveRequest* request = context_.active_requests.find(id);
     if (!request) return context_.counters.add(Counter::late_events);
-    request->may_have_run_before_attempt = request->may_have_run;
     request->may_have_run = true;
     context_.setup_counters.add_forward();
 }
--- a/tests/router/test_request_router.cpp
+++ b/tests/router/test_request_router.cpp
@@ -91,6 +91,22 @@
     EXPECT_EQ(retried.downstream.actions.back().substr(0, 12), "reply 1 BUSY");
 }
 
+// The answer BUSY can be read before the event that the request line was written. It speaks for its own attempt only:
+// the request may have run in the one before, so the client must not be told that a retry is harmless.
+TEST(RequestRouter, AnswersErrIfRequestMayHaveRunBeforeAnAttemptWasRejectedBeforeItsWrite) {
+    RouterFixture fixture;
+    fixture.open(1, chat_request);
+    fixture.router.on_attempt_written(1);
+    fixture.reset_attempt(1);
+    EXPECT_EQ(fixture.upstream.actions.size(), 2u);
+    fixture.reject_attempt(1);
+    ClusterConfig config = parse_cluster_config(router_settings);
+    config.policy.request_classes[0].idempotency = Idempotency::non_idempotent;
+    fixture.router.reconfigure(config);
+    fixture.router.on_client_closed(1, CloseReason::fin);
+    EXPECT_EQ(fixture.downstream.actions, Lines{"reply 1 ERR\r\n"});
+}
+
 // The process that takes over gets the policy's state and must hold the same retry back.
 TEST(RequestRouter, HoldsBackRetryOfAnEarlierProcessOnceItsWindowHasPassed) {
     RouterFixture earlier;
