A drain reported by the old discovery address outlasts an older list of the new one

Cause: the first list of the new address replaced what the old one had reported. Versions of two addresses cannot be compared.

--- a/src/discovery/late_polls.cpp
+++ b/src/discovery/late_polls.cpp
@@ -1,6 +1,5 @@
 #include "discovery/late_polls.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace headrouter {
@@ -11,8 +10,8 @@
 // would have answered the dropped ones.
 constexpr Duration min_interval = seconds(1);
 // Time after which a change counts as known to the balancer, by the operators' acceptance terms, and the
-// interval: later answers bring only what counts as known. The oldest request is kept longer, as late news is
-// better than none.
+// interval: later answers bring only what counts as known. The oldest request is kept longer, so that an
+// agent which is slower than that is still heard.
 constexpr Duration max_age = seconds(6) + min_interval;
 
 }  // namespace
@@ -28,12 +27,6 @@
     for (const std::unique_ptr<PollConnection>& connection : connections_) connection->close();
 }
 
-size_t LatePolls::count_waiting() const {
-    return static_cast<size_t>(std::count_if(
-        connections_.begin(), connections_.end(),
-        [](const std::unique_ptr<PollConnection>& connection) { return connection->is_waiting(); }));
-}
-
 void LatePolls::remove_expired(TimePoint now) {
     std::erase_if(connections_, [](const std::unique_ptr<PollConnection>& connection) {
         return !connection->is_waiting();
--- a/src/discovery/late_polls.h
+++ b/src/discovery/late_polls.h
@@ -2,7 +2,6 @@
 /// look alike: the watch client sends a new request soon, in case the connection is silent, and keeps the old
 /// one here, in case the service is slow. Whichever is answered first brings the list.
 #pragma once
-#include <cstddef>
 #include <memory>
 #include <vector>
 
@@ -15,16 +14,13 @@
 class LatePolls {
    public:
     /// Keeps `connection` until its response or the end of its time. Closes it at once if the latest kept
-    /// request was sent shortly before it: an answer to that one would say as much. Must not be called inside
-    /// an event of a connection.
+    /// request was sent shortly before it, as its response would bring the same list. Must not be called
+    /// inside an event of a connection.
     void add(std::unique_ptr<PollConnection> connection, TimePoint now);
 
     /// Closes all connections without destroying them, so this may be called inside one of their events.
     void close_all();
 
-    /// Returns the number of requests that wait for a late response.
-    size_t count_waiting() const;
-
    private:
     void remove_expired(TimePoint now);
 
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -13,7 +13,12 @@
 
 DiscoveryWatch::DiscoveryWatch(struct ev_loop* loop, RequestRouter& router, const Clock& clock,
                                Counters& counters, Log& log)
-    : loop_(loop), router_(router), clock_(clock), counters_(counters), log_(log) {}
+    : loop_(loop),
+      router_(router),
+      clock_(clock),
+      counters_(counters),
+      log_(log),
+      release_timer_(loop, [this] { release_drains(); }) {}
 
 std::unique_ptr<WatchClient> DiscoveryWatch::make_client(const BootstrapConfig& config) {
     const bool is_shared = config.cluster.policy.polls_endpoints;
@@ -26,9 +31,29 @@
 
 void DiscoveryWatch::on_update(const WatchClient& from, const EndpointUpdate& update) {
     const bool next_has_answered = &from == next_.get();
-    if (next_has_answered) current_ = std::move(next_);
+    if (next_has_answered) {
+        current_ = std::move(next_);
+        drains_.change_address();
+    }
+    const EndpointUpdate applied = drains_.apply(update, Clock::now());
     router_.on_endpoints(update.is_snapshot ? EndpointUpdateKind::snapshot : EndpointUpdateKind::delta,
-                         update);
+                         applied);
+    schedule_release();
+}
+
+void DiscoveryWatch::release_drains() {
+    const EndpointUpdate released = drains_.take_released(Clock::now());
+    if (!released.entries.empty()) {
+        log_.info("drains_released", {{"endpoints", released.entries.size()}});
+        router_.on_endpoints(EndpointUpdateKind::delta, released);
+    }
+    schedule_release();
+}
+
+void DiscoveryWatch::schedule_release() {
+    release_timer_.stop();
+    if (const std::optional<TimePoint> next = drains_.next_release())
+        release_timer_.start_once(*next - Clock::now());
 }
 
 void DiscoveryWatch::start(const BootstrapConfig& config, int64_t version, TimePoint valid_until) {
@@ -49,6 +74,7 @@
 void DiscoveryWatch::stop() {
     current_.reset();
     next_.reset();
+    release_timer_.stop();
 }
 
 bool DiscoveryWatch::is_outdated(TimePoint now) const {
--- a/src/proxy/discovery_watch.h
+++ b/src/proxy/discovery_watch.h
@@ -5,6 +5,7 @@
 
 #include "admin/counters.h"
 #include "admin/log.h"
+#include "discovery/reported_drains.h"
 #include "discovery/watch_client.h"
 #include "proxy/bootstrap_config.h"
 #include "router/request_router.h"
@@ -16,7 +17,7 @@
 [[nodiscard]] Address discovery_address(const BootstrapConfig& config);
 
 /// Stands for the version of the endpoint list while no list is known.
-constexpr int64_t no_endpoint_list = -1;
+constexpr int64_t no_endpoint_list = unknown_list_version;
 
 /// Passes every update of the endpoint list to the request router. Used on the event loop's thread.
 class DiscoveryWatch {
@@ -30,7 +31,8 @@
 
     /// Requests the whole list from the address in the new configuration, as versions of different addresses
     /// are not comparable. The watch of the current address goes on until the new address has answered, so
-    /// that a mistyped address does not leave the balancer without updates.
+    /// that a mistyped address does not leave the balancer without updates. Drains that the current address
+    /// has reported are kept for a while, see ReportedDrains.
     void switch_to(const BootstrapConfig&);
 
     void stop();
@@ -46,6 +48,8 @@
    private:
     std::unique_ptr<WatchClient> make_client(const BootstrapConfig&);
     void on_update(const WatchClient&, const EndpointUpdate&);
+    void release_drains();
+    void schedule_release();
 
     struct ev_loop* loop_;
     RequestRouter& router_;
@@ -53,6 +57,8 @@
     Counters& counters_;
     Log& log_;
     std::unique_ptr<WatchClient> current_;
+    ReportedDrains drains_;  // not transferred at a hot restart
+    TimerWatcher release_timer_;
     std::unique_ptr<WatchClient> next_;  // until its address has answered; then it becomes current_
 };
 
--- a/tests/proxy/test_balancer_reload.cpp
+++ b/tests/proxy/test_balancer_reload.cpp
@@ -48,6 +48,42 @@
     EXPECT_EQ(fixture.count(Counter::reloads), 3u);
 }
 
+// The new address may have heard of a drain later than the old one: its list must not undo what was reported.
+TEST(BalancerReload, DrainReportedByTheOldAddressOutlastsAnOlderListOfTheNewOne) {
+    BalancerFixture fixture;
+    const auto list = [&](int version, const std::string& lifecycle) {
+        const std::string body = R"({"generation":)" + std::to_string(version) +
+                                 R"(,"reset":true,"instances":[{"instanceId":"s","hostPort":")" +
+                                 fixture.server_listener.address + R"(","zone":"a","lifecycle":")" +
+                                 lifecycle + R"("}]})";
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    const auto is_sent_to_server = [&] {
+        const uint64_t started = fixture.count(Counter::attempts_started);
+        const Peer client = fixture.connect_client();
+        fixture.run_for(millis(50));
+        return fixture.count(Counter::attempts_started) > started;
+    };
+    EXPECT_TRUE(fixture.receives(fixture.discovery, "GET /v1/servers HTTP/1.1\r\n"));
+    fixture.discovery.write(list(5, "DRAINING"));
+    EXPECT_TRUE(fixture.run_until([&] { return fixture.count(Counter::endpoint_updates) == 1; }));
+    const TimePoint reported = Clock::now();
+    Listener new_listener;
+    BootstrapConfig next = fixture.config;
+    next.discovery = new_listener.address;
+    fixture.balancer->reload(next);
+    Peer watch = fixture.accept(new_listener);
+    EXPECT_TRUE(fixture.receives(watch, "GET /v1/servers HTTP/1.1\r\n"));
+    watch.write(list(2, "SERVING"));
+    EXPECT_TRUE(fixture.run_until([&] { return fixture.count(Counter::endpoint_updates) == 2; }));
+    EXPECT_FALSE(is_sent_to_server());
+    // A change counts as known to the new address 6 s after it was reported here.
+    while (Clock::now() - reported < seconds(5.5)) fixture.run_for(millis(100));
+    EXPECT_FALSE(is_sent_to_server());
+    fixture.run_for(seconds(1));
+    EXPECT_TRUE(is_sent_to_server());
+}
+
 TEST(BalancerReload, AppliesLimitsAndRequestClassesAndRejectsAnInvalidConfiguration) {
     BalancerFixture fixture;
     // NOLINTNEXTLINE(clang-analyzer-deadcode.DeadStores): kept open while the test runs.
--- a/tests/router/test_request_router.cpp
+++ b/tests/router/test_request_router.cpp
@@ -91,8 +91,9 @@
     EXPECT_EQ(retried.downstream.actions.back().substr(0, 12), "reply 1 BUSY");
 }
 
-// The answer BUSY can be read before the event that the request line was written. It speaks for its own attempt only:
-// the request may have run in the one before, so the client must not be told that a retry is harmless.
+// The answer BUSY can be read before the event that the request line was written. It speaks for its own
+// attempt only: the request may have run in the one before, so the client must not be told that a retry is
+// harmless.
 TEST(RequestRouter, AnswersErrIfRequestMayHaveRunBeforeAnAttemptWasRejectedBeforeItsWrite) {
     RouterFixture fixture;
     fixture.open(1, chat_request);
