--- a/src/discovery/poll_connection.cpp
+++ b/src/discovery/poll_connection.cpp
@@ -11,7 +11,7 @@
 constexpr int64_t ns_per_ms = 1'000'000;
 
 std::string target_of(const PollRequest& request) {
-    const std::string path = "/v1/servers";
+    std::string path = "/v1/servers";
     if (request.since == unknown_list_version) return path;
     return path + "?since=" + std::to_string(request.since) +
            "&timeout_ms=" + std::to_string(request.watch_time.ns / ns_per_ms);
