--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -103,8 +103,8 @@
     std::vector<std::unique_ptr<Server>> servers_;
 };
 
-/// The servers that begin to drain: a third of the fleet.
-const std::vector<std::string> drained = {"s-3", "s-4"};
+/// The servers that begin to drain: half of the fleet.
+const std::vector<std::string> drained = {"s-1", "s-3", "s-4"};
 
 /// The rule's grace, the 50 ms that each limit is longer on sockets, and the 0.15 s for which a balancer may
 /// be held up.
