--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -22,62 +22,119 @@
     Trouble trouble = Trouble::all;
 };
 
+/// A traffic type: name, setup target and guard time.
+struct TrafficType {
+    std::string name;
+    int target_ms, guard_ms;
+};
+
+/// What the pages say of one of their deployments, as far as a balancer is told of it.
 struct Deployment {
-    std::string discovery = "ask";
-    int64_t drain_grace_ms = 500;
+    std::string discovery;
+    int drain_grace_ms, max_legs;
+    bool may_probe;
+    std::string cold_rule, zones, realms, quotas, tenant;
+    std::vector<TrafficType> types;
 };
 
-/// Settings like those of a small deployment, after the example of the wire's page.
+const Deployment north_bengal_swap = {
+    .discovery = "ask",
+    .drain_grace_ms = 500,
+    .max_legs = 3,
+    .may_probe = false,
+    .cold_rule = R"("coldNs":8700000000,"coldShare":0.3,"fallMultiple":3.0,"fallNs":3000000000)",
+    .zones = R"(["siliguri","malda"])",
+    .realms = "",
+    .quotas = "",
+    .tenant = "",
+    .types = {{"swap-status", 300, 1800}, {"stock-sync", 800, 4800}, {"id-check", 500, 2000}}};
+
+const Deployment south_bengal_replace = {
+    .discovery = "ask",
+    .drain_grace_ms = 500,
+    .max_legs = 5,
+    .may_probe = true,
+    .cold_rule = R"("coldNs":23000000000,"coldShare":0.13,"fallMultiple":3.0,"fallNs":2000000000)",
+    .zones = R"(["howrah","durgapur","kharagpur","barasat"])",
+    .realms = "",
+    .quotas = "",
+    .tenant = "",
+    .types = {{"agent-session", 800, 3200}}};
+
+const Deployment kolkata_setu = {
+    .discovery = "push",
+    .drain_grace_ms = 3000,
+    .max_legs = 4,
+    .may_probe = true,
+    .cold_rule = R"("coldNs":8700000000,"coldShare":0.31,"fallMultiple":3.0,"fallNs":1000000000)",
+    .zones = R"(["salt-lake","new-town"])",
+    .realms = R"("realms":[{"name":"gangchil","quotaPerS":3.0,"share":0.41},)"
+              R"({"name":"padma-tel","quotaPerS":3.0,"share":0.35},)"
+              R"({"name":"sundari","quotaPerS":1.0,"share":0.15},)"
+              R"({"name":"teesta","quotaPerS":1.0,"share":0.09}],)",
+    .quotas = R"(,"tenantQuotaConnections":[139.0,119.0,51.0,31.0])",
+    .tenant = "gangchil",
+    .types = {{"status-watch", 800, 3200}, {"kyc-match", 500, 2000}, {"plan-set", 300, 1200}}};
+
+/// Settings in the form of the example on the wire's page, with the figures of the deployment.
 std::string settings_of(const Deployment& of) {
-    const auto type = [](const std::string& name, const std::string& aim, const std::string& deadline) {
-        return R"({"effect":"pure","guardTimeNs":)" + deadline + R"(,"keyScope":"all","name":")" + name +
-               R"(","overdueRevenue":0.0,"revenue":2.0,"setupTargetNs":)" + aim +
-               R"(,"streamed":true,"windowNs":5000000000})";
-    };
+    std::string types;
+    for (const TrafficType& type : of.types)
+        types += (types.empty() ? "" : ",") +
+                 (R"({"effect":"pure","guardTimeNs":)" + std::to_string(type.guard_ms)) +
+                 R"(000000,"keyScope":"all","name":")" + type.name +
+                 R"(","overdueRevenue":0.0,"revenue":2.0,"setupTargetNs":)" + std::to_string(type.target_ms) +
+                 R"(000000,"streamed":true,"windowNs":5000000000})";
     return R"({"az":0,"ceilings":{"cancelling":true,"connIdleNs":30000000000,"cpuUsPerRequest":0.0,)"
-           R"("cpuUsPerS":750000,"dialTimeoutNs":150000000,"maxLegs":3,"maxOpen":1500000,)"
-           R"("maxRetryAfterNs":1500000000,"multiplex":1048576,"peers":false,"probing":false,)"
-           R"("retryAfter":true,"secondCopies":false},)"
+           R"("cpuUsPerS":750000,"dialTimeoutNs":150000000,"maxLegs":)" +
+           std::to_string(of.max_legs) +
+           R"(,"maxOpen":1500000,"maxRetryAfterNs":1500000000,"multiplex":1048576,"peers":false,"probing":)" +
+           (of.may_probe ? "true" : "false") +
+           R"(,"retryAfter":true,"secondCopies":false},)"
            R"("charges":{"connection":0.0,"crossZone":0.0,"discovery":0.0,"handshake":0.0,"lateFail":0.028,)"
            R"("moves":0.01,"origin":0.0,"peer":0.0,"probe":0.0,"waste":0.056},)"
            R"("clientHabits":{"marksRetry":false},"discovery":")" +
            of.discovery +
-           R"(","domain":{"groups":true,"messageAimNs":[60000000,150000000],"mode":"proxy","parkNs":0,)"
-           R"("tellsDelay":false,"tellsLoad":false,"tenantQuotaConnections":[139.0,119.0]},)"
-           R"("failureDomains":["siliguri","malda"],"flavors":["new-box"],)"
-           R"("goal":{"whole":0.55,"worstClass":0.3,"worstTenant":0.0,"worstWindow":0.15},"groupSize":2,)"
-           R"("invariants":{"answerSlackNs":8000000,"askEveryNs":10000000000,"coldNs":8700000000,)"
-           R"("coldShare":0.3,"drainGraceNs":)" +
-           std::to_string(of.drain_grace_ms) +
-           R"(000000,"fallMultiple":3.0,"fallNs":3000000000},"layers":["session-boxes"],)"
-           R"("realms":[{"name":"gangchil","quotaPerS":3.0,"share":0.6},)"
-           R"({"name":"teesta","quotaPerS":3.0,"share":0.4}],"report":{"fields":[],"how":"silent"},)"
-           R"("revenueBasis":"request","serviceType":"conn","slotNo":0,"stepNs":2000000,)"
-           R"("surplusRevenue":0.2,"tier":0,"trafficTypes":[)" +
-           type("swap-status", "300000000", "1800000000") + "," +
-           type("id-check", "500000000", "2000000000") + R"(],"weightSource":"silent"})";
+           R"(","domain":{"groups":true,"mode":"proxy","parkNs":0,"tellsDelay":false,"tellsLoad":false)" +
+           of.quotas + R"(},"failureDomains":)" + of.zones +
+           R"(,"flavors":["new-box"],"goal":{"whole":0.55,"worstClass":0.3,"worstTenant":0.0,"worstWindow":0.15},)"
+           R"("groupSize":2,"invariants":{"answerSlackNs":8000000,"askEveryNs":10000000000,"drainGraceNs":)" +
+           std::to_string(of.drain_grace_ms) + "000000," + of.cold_rule + R"(},"layers":["servers"],)" +
+           of.realms +
+           R"("report":{"fields":[],"how":"silent"},"revenueBasis":"request","serviceType":"conn","slotNo":0,)"
+           R"("stepNs":2000000,"surplusRevenue":0.2,"tier":0,"trafficTypes":[)" +
+           types + R"(],"weightSource":"silent"})";
 }
 
-ClientPlan usual_client() {
-    static std::atomic<int> count = 0;
-    const bool is_even = ++count % 2 == 0;
-    return {.request_class = is_even ? "swap-status" : "id-check",
-            .tenant = is_even ? "gangchil" : "teesta",
-            .wait_ms = is_even ? 1800 : 2000};
+std::string zone_of(const Deployment& of, int index) {
+    std::vector<std::string> names;
+    for (size_t begin = of.zones.find('"'); begin != std::string::npos; begin = of.zones.find('"', begin)) {
+        const size_t end = of.zones.find('"', begin + 1);
+        names.push_back(of.zones.substr(begin + 1, end - begin - 1));
+        begin = end + 1;
+    }
+    return names[static_cast<size_t>(index) % names.size()];
+}
+
+/// Clients of the deployment's traffic types in turn.
+std::function<ClientPlan()> clients_of(const Deployment& of) {
+    auto count = std::make_shared<size_t>(0);
+    return [&of, count] {
+        const TrafficType& type = of.types[++*count % of.types.size()];
+        return ClientPlan{.request_class = type.name, .tenant = of.tenant, .wait_ms = type.guard_ms};
+    };
 }
 
 /// Servers and their arrivals.
 class Fleet {
    public:
-    Fleet(int count, Roster& roster) {
+    Fleet(int count, const Deployment& deployment, Roster& roster) {
         for (int k = 0; k < count; ++k) {
             const std::string id = "s-" + std::to_string(k);
             servers_.push_back(
                 std::make_unique<Server>(id, [this](const Arrival& arrival) { add(arrival); }));
-            roster.add({.id = id,
-                        .address = servers_.back()->address(),
-                        .zone = k % 2 == 0 ? "siliguri" : "malda",
-                        .cell = k});
+            roster.add(
+                {.id = id, .address = servers_.back()->address(), .zone = zone_of(deployment, k), .cell = k});
         }
     }
 
@@ -132,8 +189,8 @@
 /// Six servers, discovery at two addresses and two balancers. Never destroyed, as the threads of connections
 /// use it until the process ends.
 struct World {
-    explicit World(const Run& run)
-        : fleet(6, roster),
+    World(const Run& run, const Deployment& deployment)
+        : fleet(6, deployment, roster),
           first("n1", run.temporary, run.command),
           second("n2", run.temporary, run.command) {}
 
@@ -189,13 +246,13 @@
 
 /// A balancer is killed and comes back with its last list, while discovery turns new callers away.
 int restart_turned_away(const Run& run) {
-    const Deployment deployment;
-    World& world = *new World(run);
+    const Deployment& deployment = south_bengal_replace;
+    World& world = *new World(run, deployment);
     const std::string settings = settings_of(deployment);
     const std::string last_list = world.roster.whole_list();
     if (!world.start(settings, world.discovery)) return 2;
     Traffic traffic(
-        24, [&] { return world.targets(); }, usual_client);
+        24, [&] { return world.targets(); }, clients_of(deployment));
     const double begin = now();
 
     sleep_until(begin + 3);
@@ -213,7 +270,7 @@
         if (!world.first.wait_until_ready(now() + 10)) return 2;
         world.first_is_up = true;
     }
-    sleep_until(begin + 18);
+    sleep_until(begin + 17.8);
     world.discovery.serve_all();
     sleep_until(begin + 20);
     traffic.stop();
@@ -223,12 +280,12 @@
 
 /// A new configuration moves discovery to an address that is slow.
 int reload_to_slow(const Run& run) {
-    const Deployment deployment;
-    World& world = *new World(run);
+    const Deployment& deployment = north_bengal_swap;
+    World& world = *new World(run, deployment);
     const std::string settings = settings_of(deployment);
     if (!world.start(settings, world.discovery)) return 2;
     Traffic traffic(
-        24, [&] { return world.targets(); }, usual_client);
+        24, [&] { return world.targets(); }, clients_of(deployment));
     const double begin = now();
 
     sleep_until(begin + 3);
@@ -249,12 +306,12 @@
 
 /// A new configuration moves discovery to an address that turns callers away for some seconds.
 int reload_turned_away(const Run& run) {
-    const Deployment deployment;
-    World& world = *new World(run);
+    const Deployment& deployment = north_bengal_swap;
+    World& world = *new World(run, deployment);
     const std::string settings = settings_of(deployment);
     if (!world.start(settings, world.discovery)) return 2;
     Traffic traffic(
-        24, [&] { return world.targets(); }, usual_client);
+        24, [&] { return world.targets(); }, clients_of(deployment));
     const double begin = now();
 
     sleep_until(begin + 3);
@@ -266,7 +323,7 @@
     const double reloaded = now();
     sleep_until(reloaded + 1.7);
     world.drain();
-    sleep_until(reloaded + 8);
+    sleep_until(reloaded + 7.9);
     world.other_discovery.serve_all();
     sleep_until(reloaded + 12);
     traffic.stop();
@@ -276,12 +333,12 @@
 
 /// Discovery breaks the first balancer's watch and turns it away; some seconds later it is down.
 int turned_away_then_down(const Run& run) {
-    const Deployment deployment;
-    World& world = *new World(run);
+    const Deployment& deployment = south_bengal_replace;
+    World& world = *new World(run, deployment);
     const std::string settings = settings_of(deployment);
     if (!world.start(settings, world.other_discovery)) return 2;
     Traffic traffic(
-        24, [&] { return world.targets(); }, usual_client);
+        24, [&] { return world.targets(); }, clients_of(deployment));
     const double begin = now();
 
     sleep_until(begin + 3);
@@ -311,13 +368,13 @@
 
 /// A balancer is killed and comes back with its last list, while discovery is down and its agent is silent.
 int restart_in_outage(const Run& run) {
-    const Deployment deployment{.discovery = "push", .drain_grace_ms = 3000};
-    World& world = *new World(run);
+    const Deployment& deployment = kolkata_setu;
+    World& world = *new World(run, deployment);
     const std::string settings = settings_of(deployment);
     const std::string last_list = world.roster.whole_list();
     if (!world.start(settings, world.other_discovery)) return 2;
     Traffic traffic(
-        24, [&] { return world.targets(); }, usual_client);
+        24, [&] { return world.targets(); }, clients_of(deployment));
     const double begin = now();
 
     sleep_until(begin + 3);
@@ -332,13 +389,13 @@
     }
     const double silent_since = now();
     if (run.trouble != Trouble::none) {
-        sleep_until(begin + 4.5);
+        sleep_until(begin + 4.9);
         world.first.start({settings, last_list, world.discovery.address()});
         told = std::max(told, now());
         if (!world.first.wait_until_ready(now() + 10)) return 2;
         world.first_is_up = true;
     }
-    sleep_until(silent_since + 8);
+    sleep_until(silent_since + 7.9);
     world.discovery.is_silent = world.other_discovery.is_silent = false;
     record().add("the agents answer new calls");
     sleep_until(silent_since + 10);
--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -17,6 +17,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <random>
 
 namespace rig {
@@ -37,19 +38,27 @@
     return result;
 }
 
+/// A loopback address of this run alone: no connection that some other program makes can hold one of its
+/// ports, as connections on loopback come from 127.0.0.1.
+std::string own_host() {
+    const int number = getpid();
+    return "127." + std::to_string(100 + number / 62500 % 100) + "." +
+           std::to_string(1 + number / 250 % 250) + "." + std::to_string(1 + number % 250);
+}
+
 /// Binds to `address`, or to a free port if it is empty.
 int bind_to(std::string& address) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in bound = parse(address.empty() ? "127.0.0.1:0" : address);
+    sockaddr_in bound = parse(address.empty() ? own_host() + ":0" : address);
     socklen_t size = sizeof bound;
     if (bind(fd, reinterpret_cast<sockaddr*>(&bound), size) != 0 ||
         getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size) != 0) {
         std::perror("bind");
         std::exit(2);
     }
-    address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+    address = own_host() + ":" + std::to_string(ntohs(bound.sin_port));
     return fd;
 }
 
@@ -163,6 +172,7 @@
     std::thread([this, listening] {
         for (;;) {
             const int fd = accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
             if (fd < 0) break;
             const int on = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -364,14 +374,15 @@
     write_configuration(settings);
     const std::string temporary = folder_ + "/" + name_ + "-" + std::to_string(++starts_);
     const std::string log = temporary + ".log";
-    const std::string make_folder = "mkdir -p " + temporary;
-    if (std::system(make_folder.c_str()) != 0) std::exit(2);
-    std::vector<std::string> environment = {"PROXY_NAME=" + name_,
-                                            "PROXY_LISTEN=" + address_,
-                                            "PROXY_DISCOVERY=" + settings.discovery,
-                                            "PROXY_CONFIG=" + configuration_path(),
-                                            "TMPDIR=" + temporary,
-                                            "PATH=" + std::string(getenv("PATH"))};
+    std::filesystem::create_directories(temporary);
+    const char* const path = getenv("PATH");
+    std::vector<std::string> environment = {
+        "PROXY_NAME=" + name_,
+        "PROXY_LISTEN=" + address_,
+        "PROXY_DISCOVERY=" + settings.discovery,
+        "PROXY_CONFIG=" + configuration_path(),
+        "TMPDIR=" + temporary,
+        path == nullptr ? "PATH=/usr/bin:/bin" : "PATH=" + std::string(path)};
     std::vector<char*> variables;
     for (std::string& variable : environment) variables.push_back(variable.data());
     variables.push_back(nullptr);
@@ -455,8 +466,9 @@
         return result;
     }
     Stream stream(fd);
-    stream.write("OPEN " + plan.wire_id + " " + random_hex(16) + " c=" + plan.request_class + ",t=" +
-                 plan.tenant + ",d=" + std::to_string(plan.wait_ms) + ",g=" + random_hex(16) + "\r\n");
+    stream.write("OPEN " + plan.wire_id + " " + random_hex(16) + " c=" + plan.request_class +
+                 (plan.tenant.empty() ? "" : ",t=" + plan.tenant) + ",d=" + std::to_string(plan.wait_ms) +
+                 ",g=" + random_hex(16) + "\r\n");
     // The rules allow half a second and 50 ms after the client's time.
     if (stream.read_line(result.answer, now() + wait + 0.55) != Stream::Got::line) result.answer.clear();
     if (!result.answer.starts_with("UP ")) return result;
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -62,7 +62,7 @@
     std::string input_;
 };
 
-/// Listens on a free port of 127.0.0.1 and gives each connection a thread.
+/// Listens on a free port of a loopback address of this run and gives each connection a thread.
 class Listener {
    public:
     using Handler = std::function<void(Stream&, int number)>;
