A stored pushed list is used only for the drain grace until the agent has answered

Cause: is_endpoint_list_outdated() was false wherever lists are pushed, and a stored list counted as equal to discovery's at the moment of the start.

The log could not tell an unconfirmed list from an agent that fell silent later: log lines endpoint_list_outdated and endpoint_list_current are new. OutdatedList.StoredPushedListIsNotUsedPastTheDrainGraceBesideASilentAgent failed with the code of (attempt sent after the grace, no counter).

Change: EndpointStaleness knows a list of unknown age, usable for invariants.drainGraceNs less a hold-up of 0.15 s and 0.1 s from the start of the process to its clock. Admission and the check before the first byte both ask it, so first attempts, retries, queued requests and late connections are covered. It also judges pushed lists whose agent answers without a list ("one clock for silence"). Where the settings state no grace nothing changes.

--- a/src/config/cluster_config.cpp
+++ b/src/config/cluster_config.cpp
@@ -204,6 +204,7 @@
     check_slow_start_rule(invariants);
     config.connect_timeout = json::span_or_zero(json::object(document, "ceilings"), "dialTimeoutNs");
     config.max_poll_interval = json::span_or_zero(invariants, "askEveryNs");
+    if (json::find(invariants, "drainGraceNs")) config.drain_grace = json::span(invariants, "drainGraceNs");
     return config;
 }
 
--- a/src/config/cluster_config.h
+++ b/src/config/cluster_config.h
@@ -3,6 +3,7 @@
 #pragma once
 #include <rapidjson/fwd.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
     /// Longest time between two polls of discovery: a balancer that has not polled for this long is assumed
     /// to know the endpoint list. Zero: not set.
     Duration max_poll_interval;
+    /// Time for which requests may still be sent to an endpoint after its drain counts as known; nothing if
+    /// the settings have no limit.
+    std::optional<Duration> drain_grace;
 };
 
 /// Parses the JSON object of settings that the platform passes to a balancer at its start.
--- a/src/discovery/endpoint_staleness.h
+++ b/src/discovery/endpoint_staleness.h
@@ -3,16 +3,27 @@
 /// whether or not this balancer got an answer; by then an endpoint that is active in this balancer's list
 /// may be draining. While no balancer can reach the service, no change counts as known. No I/O.
 #pragma once
+#include <optional>
+
 #include "base/time.h"
 
 namespace headrouter {
 
+/// Returns for how long after its start a process may use a list that discovery has not confirmed since.
+/// Changes that the list lacks may count as known from the first moment; from then on requests may go to
+/// draining endpoints for `drain_grace`, which has to cover a hold-up of the process.
+[[nodiscard]] Duration unconfirmed_use_time(Duration drain_grace);
+
 /// Tracks how long the endpoint list has been known to be current.
 class EndpointStaleness {
    public:
     /// `fresh_until`: end of the time for which the list is known to equal the service's list.
     explicit EndpointStaleness(TimePoint fresh_until) : fresh_until_(fresh_until) {}
 
+    /// Describes a list of unknown age, such as a stored one, that must not be used after `usable_until`
+    /// unless discovery confirms it.
+    [[nodiscard]] static EndpointStaleness unconfirmed(TimePoint now, TimePoint usable_until);
+
     /// Records that the service has answered with its list or reported that nothing has changed.
     void on_list_received(TimePoint now);
 
@@ -25,7 +36,8 @@
 
    private:
     TimePoint fresh_until_;
-    bool was_reached_ = false;  // by the last request, if that returned no list
+    std::optional<TimePoint> unconfirmed_until_;  // until the first list is received
+    bool was_reached_ = false;                    // by the last request, if that returned no list
 };
 
 }  // namespace headrouter
--- a/src/discovery/watch_client.h
+++ b/src/discovery/watch_client.h
@@ -44,8 +44,9 @@
     bool is_stale(TimePoint now) const { return staleness_.is_stale(now); }
     TimePoint fresh_until() const { return staleness_.fresh_until(); }
 
-    /// Sets the time that the previous process of a hot restart had recorded.
-    void set_fresh_until(TimePoint fresh_until) { staleness_ = EndpointStaleness(fresh_until); }
+    /// Sets the staleness of the list that is known at the start. Until then that list counts as equal to
+    /// discovery's list when this client was created.
+    void set_staleness(const EndpointStaleness& staleness) { staleness_ = staleness; }
 
    private:
     void request_update();
--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -103,14 +103,14 @@
     static_cast<void>(discovery_address(config_));
     static_cast<void>(configured_address("listen", config_.listen));
     listen_on_admin_address();
-    int64_t list_version = cached_list_version();
+    InitialEndpointList list{cached_list_version(), cached_list_staleness()};
     if (hot_restart_.connect_to_previous()) {
-        list_version = hot_restart_.take_over(list_version);
+        list = hot_restart_.take_over(list);
     } else {
         router_.on_endpoints(EndpointUpdateKind::cached, config_.cached_endpoints);
         listen_at("listen", config_.listen, downstream_);
     }
-    discovery_.start(config_, list_version, hot_restart_.list_valid_until());
+    discovery_.start(config_, list);
     open_gossip_at_start();
     hot_restart_.listen_for_next();
     started_ = true;
@@ -134,6 +134,17 @@
     return has_cached_list && polls ? config_.cached_endpoints.version : no_endpoint_list;
 }
 
+// Where discovery pushes changes, all that the local agent has counts as known from the first moment of this
+// process, also while the agent is silent.
+EndpointStaleness Balancer::cached_list_staleness() const {
+    const TimePoint now = Clock::now();
+    const ClusterConfig& cluster = config_.cluster;
+    const bool has_cached_list = !config_.cached_endpoints.entries.empty();
+    const bool is_pushed = !cluster.policy.polls_endpoints;
+    if (!has_cached_list || !cluster.drain_grace || !is_pushed) return EndpointStaleness(now);
+    return EndpointStaleness::unconfirmed(now, now + unconfirmed_use_time(*cluster.drain_grace));
+}
+
 void Balancer::open_gossip(const BootstrapConfig& config) {
     if (config.gossip_addresses.empty()) {
         gossip_.close();
@@ -228,6 +239,7 @@
         }
     }
     capture_.check(now);
+    discovery_.log_outdated_list(now);
     if (shutdown_.advance(now, hot_restart_.has_handed_over())) ev_break(loop_, EVBREAK_ALL);
 }
 
@@ -237,11 +249,10 @@
     return limits_.shortage();
 }
 
-// Only polling can leave the list outdated: where many balancers poll one discovery service, polls queue up
-// there and a balancer may receive a change late.
-bool Balancer::is_endpoint_list_outdated() const {
-    return config_.cluster.policy.polls_endpoints && discovery_.is_outdated(Clock::now());
-}
+// Many balancers that poll one discovery service queue up there, so that one of them may receive a change
+// late. Where changes are pushed, the list is outdated only after a start, see cached_list_staleness(), or if
+// the local agent answers without a list.
+bool Balancer::is_endpoint_list_outdated() const { return discovery_.is_outdated(Clock::now()); }
 
 std::string Balancer::status() const {
     if (router_.metrics().discovered == 0) return "error no server is known yet\r\n";
--- a/src/proxy/balancer.h
+++ b/src/proxy/balancer.h
@@ -61,6 +61,7 @@
     void add_admin_commands();
     void listen_on_admin_address();
     int64_t cached_list_version() const;
+    EndpointStaleness cached_list_staleness() const;
     void open_gossip(const BootstrapConfig&);
     void open_gossip_at_start();
     void apply_min_reported_latency();
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -4,6 +4,12 @@
 
 namespace headrouter {
 
+namespace {
+
+constexpr int64_t ns_per_ms = 1'000'000;
+
+}  // namespace
+
 Address discovery_address(const BootstrapConfig& config) {
     const auto address = Address::from(config.discovery);
     if (address) return *address;
@@ -56,14 +62,13 @@
         release_timer_.start_once(*next - Clock::now());
 }
 
-void DiscoveryWatch::start(const BootstrapConfig& config, int64_t version, TimePoint valid_until) {
+void DiscoveryWatch::start(const BootstrapConfig& config, const InitialEndpointList& list) {
     current_ = make_client(config);
-    const bool is_validity_known = valid_until.ns != 0;
-    if (is_validity_known) current_->set_fresh_until(valid_until);
-    if (version < 0)
+    current_->set_staleness(list.staleness);
+    if (list.version < 0)
         current_->start();
     else
-        current_->start_from(version);
+        current_->start_from(list.version);
 }
 
 void DiscoveryWatch::switch_to(const BootstrapConfig& config) {
@@ -84,4 +89,20 @@
     return is_client_outdated(current_) || is_client_outdated(next_);
 }
 
+void DiscoveryWatch::log_outdated_list(TimePoint now) {
+    const bool is_outdated_now = is_outdated(now);
+    if (is_outdated_now == was_outdated_) return;
+    was_outdated_ = is_outdated_now;
+    if (!is_outdated_now) {
+        log_.info("endpoint_list_current");
+        return;
+    }
+    const bool is_of_next = next_ && next_->is_stale(now);
+    const WatchClient& client = is_of_next ? *next_ : *current_;
+    log_.warning("endpoint_list_outdated",
+                 {{"address", is_of_next ? "next" : "current"},
+                  {"version", client.version()},
+                  {"confirmed_ms_ago", (now - client.fresh_until()).ns / ns_per_ms}});
+}
+
 }  // namespace headrouter
--- a/src/proxy/discovery_watch.h
+++ b/src/proxy/discovery_watch.h
@@ -19,15 +19,19 @@
 /// Stands for the version of the endpoint list while no list is known.
 constexpr int64_t no_endpoint_list = unknown_list_version;
 
+/// The endpoint list that a process has at its start.
+struct InitialEndpointList {
+    int64_t version = no_endpoint_list;  ///< no_endpoint_list: discovery has to send the whole list
+    EndpointStaleness staleness;
+};
+
 /// Passes every update of the endpoint list to the request router. Used on the event loop's thread.
 class DiscoveryWatch {
    public:
     DiscoveryWatch(struct ev_loop*, RequestRouter&, const Clock&, Counters&, Log&);
 
-    /// Starts the watch: requests the changes since `version`, or the whole list if `version` is
-    /// no_endpoint_list. `valid_until`: time until which the known list counts as up to date; zero if
-    /// unknown.
-    void start(const BootstrapConfig&, int64_t version, TimePoint valid_until);
+    /// Starts the watch: requests the changes since the version of `list`, or the whole list.
+    void start(const BootstrapConfig&, const InitialEndpointList& list);
 
     /// Requests the whole list from the address in the new configuration, as versions of different addresses
     /// are not comparable. The watch of the current address goes on until the new address has answered, so
@@ -40,6 +44,8 @@
 
     /// Returns whether the list of the current or the next address may have missed changes for too long.
     bool is_outdated(TimePoint now) const;
+    /// Logs when the list becomes outdated and when it is current again. To be called at short intervals.
+    void log_outdated_list(TimePoint now);
     /// Returns the version of the list received last, or no_endpoint_list. Requires is_running().
     int64_t version() const { return current_->version(); }
     /// Returns until when the list counts as up to date. Requires is_running().
@@ -60,6 +66,7 @@
     ReportedDrains drains_;  // not transferred at a hot restart
     TimerWatcher release_timer_;
     std::unique_ptr<WatchClient> next_;  // until its address has answered; then it becomes current_
+    bool was_outdated_ = false;          // when log_outdated_list() was called last
 };
 
 }  // namespace headrouter
--- a/src/proxy/hot_restart_coordinator.cpp
+++ b/src/proxy/hot_restart_coordinator.cpp
@@ -38,11 +38,11 @@
 }
 
 // All state is restored before the takeover is confirmed, which lets the previous process release its own.
-int64_t HotRestartCoordinator::take_over(int64_t cached_version) {
+InitialEndpointList HotRestartCoordinator::take_over(const InitialEndpointList& stored_list) {
     const TimePoint start = Clock::now();
-    int64_t list_version = cached_version;
+    InitialEndpointList list = stored_list;
     if (child_->has_state())
-        restore_state(list_version);
+        list = restore_state();
     else
         components_.router.on_endpoints(EndpointUpdateKind::cached, config_.cached_endpoints);
     components_.downstream.adopt_listener(child_->take_listener());
@@ -55,15 +55,17 @@
                {"microseconds", (Clock::now() - start).ns / nanoseconds_per_microsecond},
                {"clients", components_.downstream.size()},
                {"attempts", components_.upstream.size()}});
-    return list_version;
+    return list;
 }
 
-void HotRestartCoordinator::restore_state(int64_t& list_version) {
+InitialEndpointList HotRestartCoordinator::restore_state() {
+    int64_t list_version = no_endpoint_list;
     std::string list_source;
+    TimePoint list_valid_until;
     components_.timers.pending().clear();  // the restored state contains the policy's timers
     try {
         hot_restart::unpack({components_.router, components_.downstream, components_.upstream,
-                             components_.timers.pending(), list_version, list_source, list_valid_until_},
+                             components_.timers.pending(), list_version, list_source, list_valid_until},
                             child_->state(), child_->take_connections(), Clock::now());
     } catch (const ParseError& error) {
         throw HotRestartError(error.what());
@@ -72,6 +74,7 @@
     // Versions of different sources are not comparable.
     if (!has_same_source) list_version = no_endpoint_list;
     hooks_.apply_configuration();
+    return {list_version, EndpointStaleness(list_valid_until)};
 }
 
 // ---- handover to the next process ----
@@ -118,7 +121,7 @@
     has_handed_over_ = false;
     components_.downstream.pause_accepting(false);
     if (!components_.discovery.is_running())
-        components_.discovery.start(config_, no_endpoint_list, list_valid_until_);
+        components_.discovery.start(config_, {no_endpoint_list, EndpointStaleness(list_valid_until_)});
     listen_for_next();
 }
 
--- a/src/proxy/hot_restart_coordinator.h
+++ b/src/proxy/hot_restart_coordinator.h
@@ -47,10 +47,10 @@
     /// Returns false if there is no such process or it hands over nothing.
     [[nodiscard]] bool connect_to_previous();
     /// Takes over the listener, and also all connections and state if both processes have the same state
-    /// version. Requires that connect_to_previous() returned true. Returns the version of the endpoint list
-    /// from which to continue, or `cached_version` if no list was taken over. Throws HotRestartError if the
-    /// takeover fails: this balancer is then unusable, and a new one has to start without a hot restart.
-    [[nodiscard]] int64_t take_over(int64_t cached_version);
+    /// version. Requires that connect_to_previous() returned true. Returns the endpoint list from which to
+    /// continue: the one taken over, or `stored_list` if none was. Throws HotRestartError if the takeover
+    /// fails: this balancer is then unusable, and a new one has to start without a hot restart.
+    [[nodiscard]] InitialEndpointList take_over(const InitialEndpointList& stored_list);
     bool has_previous() const { return child_ != nullptr; }
 
     /// Listens for the next process. A failure is logged, and the balancer serves without hot restart.
@@ -60,12 +60,9 @@
     /// Reports the number of descriptors that this process still holds to the next process.
     void report_descriptors(int held) { parent_.report_descriptors_held(held); }
 
-    /// Returns until when the endpoint list taken over counts as up to date; zero if none was taken over.
-    TimePoint list_valid_until() const { return list_valid_until_; }
-
    private:
     HotRestartParent::Callbacks callbacks();
-    void restore_state(int64_t& list_version);
+    InitialEndpointList restore_state();
     hot_restart::TransferState pack();
     void hand_over(bool with_state);
     void resume();
@@ -80,7 +77,7 @@
     Log& log_;
     std::unique_ptr<HotRestartChild> child_;
     HotRestartParent parent_;
-    TimePoint list_valid_until_;
+    TimePoint list_valid_until_;  // of the list that pack() has handed over
     bool has_handed_over_ = false;
 };
 
--- a/tests/proxy/balancer_fixture.h
+++ b/tests/proxy/balancer_fixture.h
@@ -16,6 +16,7 @@
     Duration dedup_window = {};
     Duration connect_timeout = millis(150);
     Duration guard_time = seconds(1);
+    std::optional<Duration> drain_grace = {};  ///< nothing: the settings state none
 };
 
 struct BalancerFixture : EventLoopFixture {
@@ -43,7 +44,9 @@
                 "settings":{"discovery":")" +
                 options.discovery_mode + R"(","ceilings":{"maxLegs":2,"dialTimeoutNs":)" +
                 std::to_string(options.connect_timeout.ns) + R"(},
-                "invariants":{"coldNs":0,"askEveryNs":4000000000},"failureDomains":["a"],"realms":[],"trafficTypes":[{"name":"chat",
+                "invariants":{"coldNs":0)" +
+                (options.drain_grace ? R"(,"drainGraceNs":)" + std::to_string(options.drain_grace->ns) : "") +
+                R"(,"askEveryNs":4000000000},"failureDomains":["a"],"realms":[],"trafficTypes":[{"name":"chat",
                 "effect":")" +
                 options.effect + R"(","windowNs":)" + std::to_string(options.dedup_window.ns) +
                 R"(,"keyScope":"all","setupTargetNs":800000000,"guardTimeNs":)" +
--- /dev/null
+++ b/tests/proxy/test_outdated_list.cpp
@@ -0,0 +1,99 @@
+/// Tests of a balancer whose endpoint list may lack drains that count as known: new requests must not go by
+/// it.
+#include <vector>
+
+#include "proxy/balancer_fixture.h"
+
+namespace {
+
+/// Plays the discovery service of a BalancerFixture on all connections that the balancer opens.
+class Discovery {
+   public:
+    enum class Manner {
+        serves,   ///< answers each request: with the list, or a watch when its time is over
+        rejects,  ///< answers 503
+        silent,   ///< accepts and reads
+    };
+
+    Discovery(BalancerFixture& fixture, Manner initial_manner) : manner(initial_manner), fixture_(fixture) {
+        connections_.push_back(std::move(fixture.discovery));
+    }
+
+    void run_for(Duration duration) {
+        const TimePoint end = Clock::now() + duration;
+        while (Clock::now() < end) {
+            step();
+            fixture_.run_for(millis(5));
+        }
+    }
+
+    void reset_connections() {
+        for (Peer& peer : connections_) peer.send_reset();
+        connections_.clear();
+    }
+
+    Manner manner;
+
+   private:
+    void step() {
+        while (std::optional<Peer> peer = fixture_.discovery_listener.try_accept())
+            connections_.push_back(std::move(*peer));
+        for (Peer& peer : connections_) step(peer);
+    }
+
+    void step(Peer& peer) const {
+        peer.read();
+        if (manner == Manner::silent || peer.received.find("\r\n\r\n") == std::string::npos) return;
+        peer.received.clear();
+        if (manner == Manner::rejects) return peer.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        const std::string list =
+            R"({"generation":5,"reset":true,"instances":[{"instanceId":"s","hostPort":")" +
+            fixture_.server_listener.address + R"(","zone":"a","lifecycle":"SERVING"}]})";
+        peer.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    }
+
+    BalancerFixture& fixture_;
+    std::vector<Peer> connections_;
+};
+
+/// Sends a new request; returns whether it reached the only server, and expects BUSY where it did not.
+bool is_sent_to_server(BalancerFixture& fixture, Discovery& discovery) {
+    const uint64_t started = fixture.count(Counter::attempts_started);
+    Peer client = fixture.connect_client();
+    discovery.run_for(millis(50));
+    if (fixture.count(Counter::attempts_started) > started) return true;
+    EXPECT_TRUE(fixture.receives(client, "BUSY"));
+    return false;
+}
+
+}  // namespace
+
+// Guards against requests to servers that drain, sent by a process that starts with its stored list while
+// discovery is down and the local agent is silent.
+TEST(OutdatedList, StoredPushedListIsNotUsedPastTheDrainGraceBesideASilentAgent) {
+    BalancerFixture fixture({.drain_grace = seconds(1)});
+    const TimePoint started = Clock::now();
+    Discovery discovery(fixture, Discovery::Manner::silent);
+    EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+    discovery.run_for(started + seconds(1.05) - Clock::now());
+    EXPECT_FALSE(is_sent_to_server(fixture, discovery));
+    discovery.run_for(seconds(6));
+    EXPECT_FALSE(is_sent_to_server(fixture, discovery));
+    EXPECT_EQ(fixture.count(Counter::refused_for_outdated_list), 2u);
+    EXPECT_NE(fixture.log_text.str().find("endpoint_list_outdated"), std::string::npos);
+    discovery.manner = Discovery::Manner::serves;
+    discovery.run_for(seconds(1));
+    EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+    EXPECT_NE(fixture.log_text.str().find("endpoint_list_current"), std::string::npos);
+}
+
+// An agent that has been heard since the start and is silent now has learned nothing since: the list stays in
+// use for as long as the outage lasts.
+TEST(OutdatedList, PushedListThatWasReceivedStaysInUseBesideASilentAgent) {
+    BalancerFixture fixture({.drain_grace = seconds(1)});
+    Discovery discovery(fixture, Discovery::Manner::serves);
+    discovery.run_for(seconds(0.5));
+    discovery.manner = Discovery::Manner::silent;
+    discovery.run_for(seconds(8));
+    EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+}
