An outage no longer renews an endpoint list that rejections have made outdated

Cause: EndpointStaleness kept only the latest failure. A call that reached nobody set "current until" to now and forgot that discovery could be reached before and may have told others.

A check that was wrong: two lines of test_poll_backoff demanded that the list is current again at 66 s and 90 s after a rejection at 60 s. They are replaced by their opposite and by a check that the received list ends it: as many points in time, as strict.

Change: the state is the time from which the list is stale, or nothing. Rejections set it, only a received list takes it back. It is handed over at a hot restart: state version 2 (recorded as state-2.bin; the policy's fields are those of version 1). An upgrade from version 1 hands over the listener alone.

--- a/src/discovery/endpoint_staleness.cpp
+++ b/src/discovery/endpoint_staleness.cpp
@@ -22,26 +22,15 @@
     return std::max(Duration{}, drain_grace - max_hold_up - process_start_margin);
 }
 
-EndpointStaleness EndpointStaleness::unconfirmed(TimePoint now, TimePoint usable_until) {
-    EndpointStaleness staleness(now);
-    staleness.unconfirmed_until_ = usable_until;
-    return staleness;
-}
-
-void EndpointStaleness::on_list_received(TimePoint now) {
-    fresh_until_ = now;
-    unconfirmed_until_.reset();
-    was_reached_ = false;
-}
-
 void EndpointStaleness::on_request_failed(TimePoint now, bool was_reached) {
-    was_reached_ = was_reached;
-    if (!was_reached) fresh_until_ = now;
-}
-
-bool EndpointStaleness::is_stale(TimePoint now) const {
-    if (unconfirmed_until_ && now > *unconfirmed_until_) return true;
-    return was_reached_ && now - fresh_until_ > propagation_allowance - write_margin;
+    if (was_reached) {
+        const TimePoint stale_from = state_.confirmed_until + propagation_allowance - write_margin;
+        state_.stale_from = std::min(state_.stale_from.value_or(stale_from), stale_from);
+        return;
+    }
+    // That discovery cannot be reached now says nothing of the time in which it could be reached: a change
+    // that the list may lack since then still counts as known.
+    if (!state_.stale_from) state_.confirmed_until = now;
 }
 
 }  // namespace headrouter
--- a/src/discovery/endpoint_staleness.h
+++ b/src/discovery/endpoint_staleness.h
@@ -17,27 +17,38 @@
 /// Tracks how long the endpoint list has been known to be current.
 class EndpointStaleness {
    public:
-    /// `fresh_until`: end of the time for which the list is known to equal the service's list.
-    explicit EndpointStaleness(TimePoint fresh_until) : fresh_until_(fresh_until) {}
+    /// What another process needs to continue.
+    struct State {
+        /// End of the time for which the list is known to equal discovery's list, or for which discovery
+        /// could not be reached.
+        TimePoint confirmed_until;
+        /// When the list becomes stale unless it is received again; nothing while no change can count as
+        /// known.
+        std::optional<TimePoint> stale_from;
+    };
+
+    /// Describes a list that equals discovery's list at `confirmed_until`.
+    explicit EndpointStaleness(TimePoint confirmed_until) : EndpointStaleness({confirmed_until, {}}) {}
+    explicit EndpointStaleness(const State& state) : state_(state) {}
 
     /// Describes a list of unknown age, such as a stored one, that must not be used after `usable_until`
     /// unless discovery confirms it.
-    [[nodiscard]] static EndpointStaleness unconfirmed(TimePoint now, TimePoint usable_until);
+    [[nodiscard]] static EndpointStaleness unconfirmed(TimePoint now, TimePoint usable_until) {
+        return EndpointStaleness({now, usable_until});
+    }
 
     /// Records that the service has answered with its list or reported that nothing has changed.
-    void on_list_received(TimePoint now);
+    void on_list_received(TimePoint now) { state_ = {now, {}}; }
 
     /// Records that a request returned no list. `was_reached`: some bytes were received all the same, so
     /// other balancers may have received the list.
     void on_request_failed(TimePoint now, bool was_reached);
 
-    bool is_stale(TimePoint now) const;
-    TimePoint fresh_until() const { return fresh_until_; }
+    bool is_stale(TimePoint now) const { return state_.stale_from && now > *state_.stale_from; }
+    const State& state() const { return state_; }
 
    private:
-    TimePoint fresh_until_;
-    std::optional<TimePoint> unconfirmed_until_;  // until the first list is received
-    bool was_reached_ = false;                    // by the last request, if that returned no list
+    State state_;
 };
 
 }  // namespace headrouter
--- a/src/discovery/watch_client.h
+++ b/src/discovery/watch_client.h
@@ -42,7 +42,7 @@
     int64_t version() const { return has_list_ ? version_ : unknown_list_version; }
 
     bool is_stale(TimePoint now) const { return staleness_.is_stale(now); }
-    TimePoint fresh_until() const { return staleness_.fresh_until(); }
+    const EndpointStaleness::State& staleness() const { return staleness_.state(); }
 
     /// Sets the staleness of the list that is known at the start. Until then that list counts as equal to
     /// discovery's list when this client was created.
--- a/src/hot_restart/balancer_state.cpp
+++ b/src/hot_restart/balancer_state.cpp
@@ -179,7 +179,8 @@
     visit(archive, balancer.timers);
     visit(archive, balancer.list_version);
     visit(archive, balancer.list_source);
-    visit(archive, balancer.list_good_until);
+    visit(archive, balancer.list_staleness.confirmed_until);
+    visit(archive, balancer.list_staleness.stale_from);
 }
 
 std::string with_id(const char* what, RequestId id) { return what + (" " + std::to_string(id)); }
--- a/src/hot_restart/balancer_state.h
+++ b/src/hot_restart/balancer_state.h
@@ -1,7 +1,7 @@
 /// \file
 /// The state of a balancer as plain data, and its serialization to bytes.
 ///
-/// The fields below are in the order in which state version 1 serializes them. state_version.h says what
+/// The fields below are in the order in which the state serializes them. state_version.h says what
 /// to do when that order changes.
 #pragma once
 #include <cstdint>
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "discovery/endpoint_staleness.h"
 #include "downstream/downstream.h"
 #include "router/request_router.h"
 #include "upstream/upstream.h"
@@ -27,7 +28,7 @@
     std::vector<PolicyTimer> timers;  ///< in ascending order of due time
     int64_t list_version = 0;         ///< as in Components, like the next two fields
     std::string list_source;
-    TimePoint list_good_until;
+    EndpointStaleness::State list_staleness;
 
     /// Returns the number of descriptors that belong to the state: one for each client and each attempt.
     [[nodiscard]] size_t connection_count() const {
--- a/src/hot_restart/state_version.h
+++ b/src/hot_restart/state_version.h
@@ -27,7 +27,8 @@
 /// The name of version 1 is the text that builds up to commit 73c782f send: they used a hash of their
 /// headers as the version. With the same name, upgrades from and downgrades to those builds keep every
 /// connection. From version 2 on the names are "state-version-2" and so on.
-inline constexpr StateVersion state_version{
-    1, "ec6d23fa37f0bb6f2bc5a9b67f7ab33eb754bbf05c81876dedf6d7df3d126070"};
+///
+/// Version 2 adds the time at which the endpoint list becomes stale.
+inline constexpr StateVersion state_version{2, "state-version-2"};
 
 }  // namespace headrouter::hot_restart
--- a/src/hot_restart/transfer_state.cpp
+++ b/src/hot_restart/transfer_state.cpp
@@ -68,7 +68,7 @@
     return {components.router.state(),   components.downstream.state(),
             components.upstream.state(), {components.timers.begin(), components.timers.end()},
             components.list_version,     components.list_source,
-            components.list_good_until};
+            components.list_staleness};
 }
 
 std::vector<int> descriptors_of(const Components& components) {
@@ -86,7 +86,7 @@
     components.timers = {state.timers.begin(), state.timers.end()};
     components.list_version = state.list_version;
     components.list_source = std::move(state.list_source);
-    components.list_good_until = state.list_good_until;
+    components.list_staleness = state.list_staleness;
 }
 
 }  // namespace
--- a/src/hot_restart/transfer_state.h
+++ b/src/hot_restart/transfer_state.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "discovery/endpoint_staleness.h"
 #include "downstream/downstream.h"
 #include "router/request_router.h"
 #include "upstream/upstream.h"
@@ -22,9 +23,9 @@
     Downstream& downstream;
     Upstream& upstream;
     std::multimap<TimePoint, uint64_t>& timers;  ///< the policy's timers: token by due time
-    int64_t& list_version;       ///< of the endpoint list that discovery last sent; negative if none
-    std::string& list_source;    ///< HOST:PORT of the discovery that sent that list
-    TimePoint& list_good_until;  ///< end of the time the list is known to be current; zero: unknown
+    int64_t& list_version;     ///< of the endpoint list that discovery last sent; negative if none
+    std::string& list_source;  ///< HOST:PORT of the discovery that sent that list
+    EndpointStaleness::State& list_staleness;  ///< how long that list is known to be current
 };
 
 /// Holds a packed state.
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -1,5 +1,6 @@
 #include "proxy/discovery_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace headrouter {
@@ -89,6 +90,14 @@
     return is_client_outdated(current_) || is_client_outdated(next_);
 }
 
+EndpointStaleness::State DiscoveryWatch::staleness() const {
+    EndpointStaleness::State state = current_->staleness();
+    if (!next_ || !next_->staleness().stale_from) return state;
+    const TimePoint next_stale_from = *next_->staleness().stale_from;
+    state.stale_from = std::min(state.stale_from.value_or(next_stale_from), next_stale_from);
+    return state;
+}
+
 void DiscoveryWatch::log_outdated_list(TimePoint now) {
     const bool is_outdated_now = is_outdated(now);
     if (is_outdated_now == was_outdated_) return;
@@ -102,7 +111,7 @@
     log_.warning("endpoint_list_outdated",
                  {{"address", is_of_next ? "next" : "current"},
                   {"version", client.version()},
-                  {"confirmed_ms_ago", (now - client.fresh_until()).ns / ns_per_ms}});
+                  {"confirmed_ms_ago", (now - client.staleness().confirmed_until).ns / ns_per_ms}});
 }
 
 }  // namespace headrouter
--- a/src/proxy/discovery_watch.h
+++ b/src/proxy/discovery_watch.h
@@ -48,8 +48,9 @@
     void log_outdated_list(TimePoint now);
     /// Returns the version of the list received last, or no_endpoint_list. Requires is_running().
     int64_t version() const { return current_->version(); }
-    /// Returns until when the list counts as up to date. Requires is_running().
-    TimePoint valid_until() const { return current_->fresh_until(); }
+    /// Returns how long the list is known to be current, and when it becomes stale for the current or the
+    /// next address. Requires is_running().
+    EndpointStaleness::State staleness() const;
 
    private:
     std::unique_ptr<WatchClient> make_client(const BootstrapConfig&);
--- a/src/proxy/hot_restart_coordinator.cpp
+++ b/src/proxy/hot_restart_coordinator.cpp
@@ -61,11 +61,11 @@
 InitialEndpointList HotRestartCoordinator::restore_state() {
     int64_t list_version = no_endpoint_list;
     std::string list_source;
-    TimePoint list_valid_until;
+    EndpointStaleness::State list_staleness;
     components_.timers.pending().clear();  // the restored state contains the policy's timers
     try {
         hot_restart::unpack({components_.router, components_.downstream, components_.upstream,
-                             components_.timers.pending(), list_version, list_source, list_valid_until},
+                             components_.timers.pending(), list_version, list_source, list_staleness},
                             child_->state(), child_->take_connections(), Clock::now());
     } catch (const ParseError& error) {
         throw HotRestartError(error.what());
@@ -74,7 +74,7 @@
     // Versions of different sources are not comparable.
     if (!has_same_source) list_version = no_endpoint_list;
     hooks_.apply_configuration();
-    return {list_version, EndpointStaleness(list_valid_until)};
+    return {list_version, EndpointStaleness(list_staleness)};
 }
 
 // ---- handover to the next process ----
@@ -91,10 +91,10 @@
 
 hot_restart::TransferState HotRestartCoordinator::pack() {
     int64_t list_version = components_.discovery.version();
-    list_valid_until_ = components_.discovery.valid_until();
+    list_staleness_ = components_.discovery.staleness();
     std::string list_source = config_.discovery;
     return hot_restart::pack({components_.router, components_.downstream, components_.upstream,
-                              components_.timers.pending(), list_version, list_source, list_valid_until_},
+                              components_.timers.pending(), list_version, list_source, list_staleness_},
                              Clock::now());
 }
 
@@ -121,7 +121,7 @@
     has_handed_over_ = false;
     components_.downstream.pause_accepting(false);
     if (!components_.discovery.is_running())
-        components_.discovery.start(config_, {no_endpoint_list, EndpointStaleness(list_valid_until_)});
+        components_.discovery.start(config_, {no_endpoint_list, EndpointStaleness(list_staleness_)});
     listen_for_next();
 }
 
--- a/src/proxy/hot_restart_coordinator.h
+++ b/src/proxy/hot_restart_coordinator.h
@@ -77,7 +77,7 @@
     Log& log_;
     std::unique_ptr<HotRestartChild> child_;
     HotRestartParent parent_;
-    TimePoint list_valid_until_;  // of the list that pack() has handed over
+    EndpointStaleness::State list_staleness_;  // of the list that pack() has handed over
     bool has_handed_over_ = false;
 };
 
--- a/tests/discovery/test_poll_backoff.cpp
+++ b/tests/discovery/test_poll_backoff.cpp
@@ -139,9 +139,12 @@
     down.on_request_failed(after(60), true);  // discovery is up again and may have answered other balancers
     EXPECT_FALSE(down.is_stale(after(64.8)));
     EXPECT_TRUE(down.is_stale(after(65)));
+    // An outage proves nothing about the time in which discovery could be reached.
     down.on_request_failed(after(66), false);
-    EXPECT_FALSE(down.is_stale(after(66)));
-    EXPECT_FALSE(down.is_stale(after(90)));
+    EXPECT_TRUE(down.is_stale(after(66)));
+    EXPECT_TRUE(down.is_stale(after(90)));
+    down.on_list_received(after(90));
+    EXPECT_FALSE(down.is_stale(after(120)));
 
     EndpointStaleness idle(start);
     EXPECT_FALSE(idle.is_stale(after(1000)));  // a watch that continues without changes
--- a/tests/hot_restart/balancer_parts.h
+++ b/tests/hot_restart/balancer_parts.h
@@ -40,7 +40,7 @@
         return config;
     }
     hot_restart::Components all() {
-        return {router, downstream, upstream, timers, list_version, list_source, list_good_until};
+        return {router, downstream, upstream, timers, list_version, list_source, list_staleness};
     }
 
     struct ev_loop* loop;
@@ -54,7 +54,7 @@
     std::multimap<TimePoint, uint64_t> timers;
     int64_t list_version = 0;
     std::string list_source;
-    TimePoint list_good_until;
+    EndpointStaleness::State list_staleness;
 };
 
 inline std::string read_whole(const std::string& path) {
--- a/tests/hot_restart/record_state.py
+++ b/tests/hot_restart/record_state.py
@@ -44,7 +44,7 @@
             "ceilings": {"maxLegs": 3, "dialTimeoutNs": 150_000_000, "retryAfter": True,
                          "maxRetryAfterNs": 2_000_000_000},
             "invariants": {"coldNs": 1_000_000_000, "fallMultiple": 4, "fallNs": 2_000_000_000,
-                           "coldShare": 0.5, "askEveryNs": 4_000_000_000},
+                           "coldShare": 0.5, "drainGraceNs": 60_000_000_000, "askEveryNs": 4_000_000_000},
             "trafficTypes": [
                 {"name": "chat", "effect": "pure", "setupTargetNs": 800_000_000, "guardTimeNs": 3_000_000_000},
                 {"name": "pay", "effect": "token", "keyScope": "zone", "setupTargetNs": 800_000_000,
--- a/tests/hot_restart/test_hot_restart.cpp
+++ b/tests/hot_restart/test_hot_restart.cpp
@@ -66,6 +66,24 @@
     EXPECT_NE(fixture.admin_reply(third, "METRICS").find(R"("outstanding":1,)"), std::string::npos);
 }
 
+// Guards against requests to servers that drain, sent by a process that counts the list it took over as
+// current although the old process knew that it is outdated.
+TEST(HotRestart, NewProcessRejectsAtOnceIfTheListOfTheOldOneIsOutdated) {
+    ProcessFixture fixture;
+    fixture.drain_grace_json = R"("drainGraceNs":1000000000,)";
+    const auto old = fixture.start();
+    auto request = fixture.establish();
+    fixture.run_for(seconds(1.2));  // the agent is silent: the stored list is not confirmed
+    Peer before = fixture.connect_client();
+    EXPECT_TRUE(fixture.receives(before, "BUSY"));
+    const auto next = fixture.start();
+    EXPECT_EQ(fixture.admin_reply(old, "STATUS").substr(0, 5), "error");
+    Peer after = fixture.connect_client();
+    EXPECT_TRUE(fixture.receives(after, "BUSY"));
+    fixture.exchange_lines(request, "still here\r\n");
+    EXPECT_NE(fixture.admin_reply(next, "METRICS").find(R"("forwards":0,)"), std::string::npos);
+}
+
 TEST(HotRestart, OldProcessContinuesToServeWhenTheNewOneDies) {
     ProcessFixture fixture;
     const auto old = fixture.start();
--- a/tests/proxy/process_fixture.h
+++ b/tests/proxy/process_fixture.h
@@ -28,6 +28,7 @@
     std::string hot_restart_socket = folder + "/headrouter-" + listen_address + ".sock";
     std::string gossip_json;          ///< fields of the configuration for gossip; empty: no gossip
     std::string gossip_allowed_json;  ///< fields of the settings that allow gossip
+    std::string drain_grace_json;     ///< field of the invariants, with its comma; empty: none is stated
     std::pair<pid_t, int> cleaner;    ///< process id, and the pipe that stays open while this process runs
     std::vector<pid_t> children;
     uint64_t last_id = 1'000'000'000'000'000;
@@ -80,8 +81,9 @@
             "settings":{"discovery":"push","failureDomains":["a"],"ceilings":{)"
                                      << gossip_allowed_json
                                      << R"("maxLegs":2,"dialTimeoutNs":150000000},"groupSize":2,
-            "invariants":{"coldNs":0},"trafficTypes":[{"name":"chat","effect":"pure","setupTargetNs":800000000,
-            "guardTimeNs":1000000000)"
+            "invariants":{)" << drain_grace_json
+                                     << R"("coldNs":0},"trafficTypes":[{"name":"chat","effect":"pure",
+            "setupTargetNs":800000000,"guardTimeNs":1000000000)"
                                      << settings_end;
     }
     /// Starts a process with the hot-restart folder `tmpdir`, or the fixture's folder if that is null.
--- a/tests/proxy/test_outdated_list.cpp
+++ b/tests/proxy/test_outdated_list.cpp
@@ -32,12 +32,24 @@
         connections_.clear();
     }
 
+    /// Resets all connections and refuses new ones until come_back() is called.
+    void go_down() {
+        reset_connections();
+        fixture_.discovery_listener.fd.close();
+    }
+    void come_back() {
+        fixture_.discovery_listener.fd = listen_on(*Address::from(fixture_.discovery_listener.address));
+    }
+
     Manner manner;
 
    private:
     void step() {
-        while (std::optional<Peer> peer = fixture_.discovery_listener.try_accept())
+        while (fixture_.discovery_listener.fd) {
+            std::optional<Peer> peer = fixture_.discovery_listener.try_accept();
+            if (!peer) break;
             connections_.push_back(std::move(*peer));
+        }
         for (Peer& peer : connections_) step(peer);
     }
 
@@ -97,3 +109,49 @@
     discovery.run_for(seconds(8));
     EXPECT_TRUE(is_sent_to_server(fixture, discovery));
 }
+
+// Guards against requests to servers that drain, sent once a refused call of an outage has made the balancer
+// forget that discovery had turned it away before and may have told others of changes.
+TEST(OutdatedList, OutageDoesNotRenewAListThatBecameOutdatedWhileDiscoveryRejected) {
+    BalancerFixture fixture({.discovery_mode = "ask"});
+    Discovery discovery(fixture, Discovery::Manner::serves);
+    discovery.run_for(seconds(0.3));
+    const TimePoint confirmed = Clock::now();
+    discovery.manner = Discovery::Manner::rejects;
+    discovery.reset_connections();
+    const uint64_t failed = fixture.count(Counter::discovery_requests_failed);
+    while (fixture.count(Counter::discovery_requests_failed) < failed + 2) discovery.run_for(millis(10));
+    discovery.go_down();
+    EXPECT_TRUE(is_sent_to_server(fixture, discovery));  // a change may be unknown for some seconds
+    discovery.run_for(confirmed + seconds(6.1) - Clock::now());
+    EXPECT_FALSE(is_sent_to_server(fixture, discovery));
+    discovery.run_for(seconds(6));
+    EXPECT_GE(fixture.count(Counter::discovery_requests_failed), failed + 3);
+    EXPECT_FALSE(is_sent_to_server(fixture, discovery));
+    discovery.manner = Discovery::Manner::serves;
+    discovery.come_back();
+    discovery.run_for(seconds(2));
+    EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+}
+
+// While discovery cannot be reached, no balancer can learn of a change: the list stays in use.
+TEST(OutdatedList, PolledListStaysInUseDuringAnOutage) {
+    BalancerFixture fixture({.discovery_mode = "ask", .drain_grace = seconds(0.5)});
+    Discovery discovery(fixture, Discovery::Manner::serves);
+    discovery.run_for(seconds(0.3));
+    discovery.go_down();
+    discovery.run_for(seconds(9));
+    EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+}
+
+// What the local agent has counts as known to the balancer also while the agent fails to tell it.
+TEST(OutdatedList, PushedListIsOutdatedIfTheAgentAnswersWithoutAList) {
+    BalancerFixture fixture;
+    Discovery discovery(fixture, Discovery::Manner::serves);
+    discovery.run_for(seconds(0.3));
+    discovery.manner = Discovery::Manner::rejects;
+    discovery.run_for(seconds(5));
+    EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+    discovery.run_for(seconds(1.5));
+    EXPECT_FALSE(is_sent_to_server(fixture, discovery));
+}
