A stored polled list is used only for the drain grace until discovery has answered

Cause: the staleness of a stored list began at the start, as if discovery had just sent it.

OutdatedList.StoredPolledList... failed with the code of where discovery rejects, leaves the call waiting, or refuses the connection.

Change: the rule for stored pushed lists holds for both kinds.

--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -134,14 +134,13 @@
     return has_cached_list && polls ? config_.cached_endpoints.version : no_endpoint_list;
 }
 
-// Where discovery pushes changes, all that the local agent has counts as known from the first moment of this
-// process, also while the agent is silent.
+// The stored list may be old, and nothing says how old: changes that it lacks may count as known from the
+// first moment of this process, whether discovery has not answered yet, rejects requests or is unreachable.
 EndpointStaleness Balancer::cached_list_staleness() const {
     const TimePoint now = Clock::now();
     const ClusterConfig& cluster = config_.cluster;
     const bool has_cached_list = !config_.cached_endpoints.entries.empty();
-    const bool is_pushed = !cluster.policy.polls_endpoints;
-    if (!has_cached_list || !cluster.drain_grace || !is_pushed) return EndpointStaleness(now);
+    if (!has_cached_list || !cluster.drain_grace) return EndpointStaleness(now);
     return EndpointStaleness::unconfirmed(now, now + unconfirmed_use_time(*cluster.drain_grace));
 }
 
@@ -249,9 +248,8 @@
     return limits_.shortage();
 }
 
-// Many balancers that poll one discovery service queue up there, so that one of them may receive a change
-// late. Where changes are pushed, the list is outdated only after a start, see cached_list_staleness(), or if
-// the local agent answers without a list.
+// The list is outdated after a start, see cached_list_staleness(), or if discovery answers without a list:
+// where many balancers poll one service, their requests queue up and one of them may receive a change late.
 bool Balancer::is_endpoint_list_outdated() const { return discovery_.is_outdated(Clock::now()); }
 
 std::string Balancer::status() const {
--- a/tests/proxy/test_outdated_list.cpp
+++ b/tests/proxy/test_outdated_list.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr Duration poll_interval = seconds(4);  // of a BalancerFixture
+
 /// Plays the discovery service of a BalancerFixture on all connections that the balancer opens.
 class Discovery {
    public:
@@ -99,6 +101,32 @@
     EXPECT_NE(fixture.log_text.str().find("endpoint_list_current"), std::string::npos);
 }
 
+// Guards against requests to servers that drain, sent by a process that starts with its stored list while the
+// shared discovery rejects requests, leaves them waiting or cannot be reached.
+TEST(OutdatedList, StoredPolledListIsNotUsedPastTheDrainGraceWithoutAnAnswerOfDiscovery) {
+    enum class Trouble { rejects, silent, down };
+    for (const Trouble trouble : {Trouble::rejects, Trouble::silent, Trouble::down}) {
+        SCOPED_TRACE(static_cast<int>(trouble));
+        BalancerFixture fixture({.discovery_mode = "ask", .drain_grace = seconds(0.5)});
+        const TimePoint started = Clock::now();
+        using Manner = Discovery::Manner;
+        Discovery discovery(fixture, trouble == Trouble::rejects ? Manner::rejects : Manner::silent);
+        if (trouble == Trouble::down) discovery.go_down();
+        EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+        discovery.run_for(started + seconds(0.55) - Clock::now());
+        EXPECT_FALSE(is_sent_to_server(fixture, discovery));
+        discovery.run_for(seconds(3));
+        EXPECT_FALSE(is_sent_to_server(fixture, discovery));
+        if (trouble == Trouble::down) discovery.come_back();
+        discovery.manner = Manner::serves;
+        // A balancer that was rejected twice pauses for up to two poll intervals.
+        const TimePoint end = Clock::now() + poll_interval * 2;
+        while (fixture.count(Counter::endpoint_updates) == 0 && Clock::now() < end)
+            discovery.run_for(millis(10));
+        EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+    }
+}
+
 // An agent that has been heard since the start and is silent now has learned nothing since: the list stays in
 // use for as long as the outage lasts.
 TEST(OutdatedList, PushedListThatWasReceivedStaysInUseBesideASilentAgent) {
