The id of a request that may have run is not served again after its client has left

Cause: RequestIntake compared the id with those of open requests only; it was free as soon as its client had left.

The answer is ERR, counter ids_run_already. A hot restart hands the ids over: state version 3, recorded as state-3.bin. Clients use an id once (PROTOCOL.md), so no sound client is refused; requests that have not run, adopted ones and repeatable classes are served as before.

Open: where only the listener is handed over, the next process does not know the ids.

--- a/src/admin/counters.cpp
+++ b/src/admin/counters.cpp
@@ -39,6 +39,7 @@
     {Counter::pings_answered, "pings_answered"},
     {Counter::malformed_client_lines, "malformed_client_lines"},
     {Counter::ids_open_already, "ids_open_already"},
+    {Counter::ids_run_already, "ids_run_already"},
     {Counter::clients_silent, "clients_silent"},
     {Counter::clients_cut, "clients_cut"},
     {Counter::lines_cut, "lines_cut"},
--- a/src/admin/counters.h
+++ b/src/admin/counters.h
@@ -41,6 +41,7 @@
     pings_answered,
     malformed_client_lines,
     ids_open_already,
+    ids_run_already,
     clients_silent,
     clients_cut,
     lines_cut,
--- a/src/downstream/request_line.cpp
+++ b/src/downstream/request_line.cpp
@@ -159,6 +159,7 @@
         case RequestLineError::missing_group: return "affinity group (g) is missing";
         case RequestLineError::missing_wait: return "wait (d) is missing";
         case RequestLineError::id_in_use: return "id belongs to an active request";
+        case RequestLineError::id_has_run: return "id belongs to a request that may have run";
     }
     return "";
 }
--- a/src/downstream/request_line.h
+++ b/src/downstream/request_line.h
@@ -46,7 +46,8 @@
     missing_tenant,
     missing_group,
     missing_wait,
-    id_in_use,  ///< detected by the router, not by the parser
+    id_in_use,   ///< detected by the router, not by the parser
+    id_has_run,  ///< likewise
 };
 
 /// Returns what is wrong with the line, for the log.
--- a/src/hot_restart/balancer_state.cpp
+++ b/src/hot_restart/balancer_state.cpp
@@ -154,6 +154,7 @@
     visit(archive, router.started_at);
     visit(archive, router.recent_reconnects);
     visit(archive, router.policy);
+    visit(archive, router.executed_ids);
 }
 
 template <class Archive>
--- a/src/hot_restart/state_version.h
+++ b/src/hot_restart/state_version.h
@@ -28,7 +28,8 @@
 /// headers as the version. With the same name, upgrades from and downgrades to those builds keep every
 /// connection. From version 2 on the names are "state-version-2" and so on.
 ///
-/// Version 2 adds the time at which the endpoint list becomes stale.
-inline constexpr StateVersion state_version{2, "state-version-2"};
+/// Version 2 adds the time at which the endpoint list becomes stale, version 3 the ids of requests that must
+/// not run again.
+inline constexpr StateVersion state_version{3, "state-version-3"};
 
 }  // namespace headrouter::hot_restart
--- a/src/router/active_requests.cpp
+++ b/src/router/active_requests.cpp
@@ -33,11 +33,22 @@
 bool ActiveRequests::remove(RequestId id) {
     const auto it = requests_.find(id);
     if (it == requests_.end()) return false;
-    wire_ids_.erase(it->second.request_line.wire_id);
+    const std::string& wire_id = it->second.request_line.wire_id;
+    if (must_not_run_again(it->second)) executed_ids_.add(wire_id);
+    wire_ids_.erase(wire_id);
     requests_.erase(it);
     return true;
 }
 
+// An adopted request is the same connection again, which its server expects.
+bool ActiveRequests::must_not_run_again(const ActiveRequest& request) const {
+    const bool may_have_run = request.may_have_run || request.is_established;
+    if (!may_have_run || request.is_adopted) return false;
+    const RequestClass& request_class =
+        config_.policy.request_classes[static_cast<size_t>(request.request_line.request.type)];
+    return request_class.idempotency != Idempotency::idempotent;
+}
+
 void ActiveRequests::clear() {
     requests_.clear();
     wire_ids_.clear();
--- a/src/router/active_requests.h
+++ b/src/router/active_requests.h
@@ -9,8 +9,10 @@
 #include <vector>
 
 #include "base/time.h"
+#include "config/cluster_config.h"
 #include "downstream/request_line.h"
 #include "policy/balancing_policy.h"
+#include "router/executed_request_ids.h"
 
 namespace headrouter {
 
@@ -45,9 +47,13 @@
 /// retry_policy.
 bool may_client_retry(const ActiveRequest&, const PolicyConfig&);
 
-/// Holds the active requests by RequestId, and the set of their ids on the wire.
+/// Holds the active requests by RequestId, the set of their ids on the wire, and the ids of those that have
+/// ended and must not run again.
 class ActiveRequests {
    public:
+    /// `config` must outlive this object.
+    explicit ActiveRequests(const ClusterConfig& config) : config_(config) {}
+
     using State = std::unordered_map<RequestId, ActiveRequest>;
 
     const State& state() const { return requests_; }
@@ -64,6 +70,10 @@
     /// Returns whether an active request has this id on the wire.
     bool has_wire_id(const std::string& wire_id) const { return wire_ids_.contains(wire_id); }
 
+    /// Returns the ids of requests that have ended, may have run and must not run again.
+    const ExecutedRequestIds& executed_ids() const { return executed_ids_; }
+    void restore_executed_ids(const ExecutedRequestIds::State& state) { executed_ids_.restore(state); }
+
     size_t size() const { return requests_.size(); }
     bool empty() const { return requests_.empty(); }
     void clear();
@@ -86,8 +96,12 @@
     }
 
    private:
+    bool must_not_run_again(const ActiveRequest&) const;
+
+    const ClusterConfig& config_;
     State requests_;
     std::unordered_set<std::string> wire_ids_;
+    ExecutedRequestIds executed_ids_;
 };
 
 }  // namespace headrouter
--- a/src/router/request_intake.cpp
+++ b/src/router/request_intake.cpp
@@ -25,6 +25,10 @@
         context_.counters.add(Counter::ids_open_already);
         return reject_malformed(id, line, RequestLineError::id_in_use);
     }
+    if (context_.active_requests.executed_ids().contains(parsed->wire_id)) {
+        context_.counters.add(Counter::ids_run_already);
+        return reject_malformed(id, line, RequestLineError::id_has_run);
+    }
     const TimePoint now = context_.environment.now();
     const bool is_new = parsed->established_server.empty();
     const auto origin = is_new ? AdmissionControl::RequestOrigin::new_request
--- a/src/router/request_router.cpp
+++ b/src/router/request_router.cpp
@@ -17,6 +17,7 @@
       counters_(counters),
       log_(log),
       setup_counters_(config_.request_class_names.size()),
+      active_requests_(config_),
       adopter_(endpoints_, upstream_, environment_.now()),
       completion_(active_requests_, downstream_, upstream_, setup_counters_, counters_, log_),
       actions_(*this, environment_.set_timer),
@@ -33,13 +34,15 @@
             active_requests_.state(),
             adopter_.started_at(),
             recent_reconnects_.state(),
-            policy_.state()};
+            policy_.state(),
+            active_requests_.executed_ids().state()};
 }
 
 void RequestRouter::restore(State state) {
     config_ = std::move(state.config);
     endpoints_.restore(std::move(state.endpoints));
     active_requests_.restore(std::move(state.active_requests));
+    active_requests_.restore_executed_ids(state.executed_ids);
     adopter_.set_started_at(state.started_at);
     recent_reconnects_.restore(state.recent_reconnects);
     policy_.restore(state.policy);
--- a/src/router/request_router.h
+++ b/src/router/request_router.h
@@ -103,6 +103,7 @@
         TimePoint started_at;
         SlidingWindow<5>::State recent_reconnects;
         std::string policy;  ///< serialized state of the policy
+        ExecutedRequestIds::State executed_ids;
     };
     State state() const;
 
--- a/tests/hot_restart/record_state.py
+++ b/tests/hot_restart/record_state.py
@@ -142,6 +142,10 @@
             kept[2].sendall(b"half a wo")
             kept.append(client(request_line(5, "t=silver,g=alone,again=1,h=4000")))  # its server does not answer
             kept.append(servers.take())
+            with client(request_line(6, "t=gold,g=left").replace("c=chat", "c=pay")):  # must not run again
+                kept_server = servers.take()
+                time.sleep(0.05)
+            kept_server.close()
             kept.append(client("OPEN 00000000000000"))  # has not sent its whole request line yet
             time.sleep(0.05)
             state, descriptors = hand_over(folder, version)
--- a/tests/hot_restart/test_transfer_state.cpp
+++ b/tests/hot_restart/test_transfer_state.cpp
@@ -16,7 +16,7 @@
 
 constexpr size_t recorded_connections = 11;
 
-std::string recorded_transfer() { return read_whole(std::string(STATE_FOLDER) + "/state-2.bin"); }
+std::string recorded_transfer() { return read_whole(std::string(STATE_FOLDER) + "/state-3.bin"); }
 
 // Returns the error with which `bytes` are rejected, empty if they are accepted. Checks that nothing was
 // restored from rejected bytes.
--- a/tests/proxy/test_hostile_clients.cpp
+++ b/tests/proxy/test_hostile_clients.cpp
@@ -99,3 +99,26 @@
     std::cout << "requests of departed clients at the server: " << runs << " of " << ids.size() << '\n';
 }
 
+// Guards against a second run of a request that comes again after its client has left, at the same process or
+// at the one that has taken over.
+TEST(HostileClients, IdThatComesAgainAfterItsClientLeftRunsOnce) {
+    HostileClientsFixture fixture("side_effect");
+    const auto send = [&](const std::string& id) {
+        Peer client = connect_peer(fixture.listen_address);
+        client.write("OPEN " + id + " 2b c=chat,d=900\r\n");
+        fixture.run_for(millis(100));
+        client.read();
+        return client.received;
+    };
+    const std::string left = next_id();
+    const std::string also_left = next_id();
+    EXPECT_EQ(send(left), "UP r\r\n");
+    EXPECT_EQ(send(also_left), "UP r\r\n");
+    EXPECT_EQ(send(left), "ERR\r\n");
+    const auto next = fixture.start();
+    EXPECT_EQ(send(left), "ERR\r\n");
+    EXPECT_EQ(send(also_left), "ERR\r\n");
+    EXPECT_EQ(fixture.server->runs(left), 1);
+    EXPECT_EQ(fixture.server->runs(also_left), 1);
+    EXPECT_TRUE(fixture.is_serving(next));
+}
--- a/tests/router/test_request_router.cpp
+++ b/tests/router/test_request_router.cpp
@@ -66,6 +66,43 @@
     EXPECT_EQ(fixture.downstream.actions, (Lines{"reply 2 ERR\r\n", "reply 3 BUSY\r\n", "reply 4 BUSY\r\n"}));
 }
 
+// Guards against a second run of a request whose id comes again after its client has left, also at the
+// process that takes over by a hot restart.
+TEST(RequestRouter, AnswersErrToAnIdThatComesAgainIfItMayHaveRunAndMustNotTwice) {
+    for (const std::string& fields : {pay_request, book_request}) {
+        RouterFixture fixture;
+        fixture.open(1, fields);
+        fixture.router.on_client_closed(1, CloseReason::reset);
+        fixture.open(1, fields);  // the first attempt was not written: the request has not run
+        EXPECT_EQ(fixture.counters[Counter::attempts_started], 2u);
+        fixture.router.on_attempt_written(1);
+        fixture.router.on_client_closed(1, CloseReason::reset);
+        fixture.downstream.actions.clear();
+        fixture.open(1, fields);
+        EXPECT_EQ(fixture.downstream.actions, Lines{"reply 1 ERR\r\n"});
+        EXPECT_EQ(fixture.counters[Counter::attempts_started], 2u);
+        EXPECT_EQ(fixture.counters[Counter::ids_run_already], 1u);
+
+        RouterFixture next;
+        next.router.restore(fixture.router.state());
+        next.open(1, fields);
+        EXPECT_EQ(next.downstream.actions, Lines{"reply 1 ERR\r\n"});
+        EXPECT_EQ(next.counters[Counter::attempts_started], 0u);
+        next.open(2, fields);
+        EXPECT_EQ(next.counters[Counter::attempts_started], 1u);
+    }
+}
+
+// A second run of an idempotent request is harmless.
+TEST(RequestRouter, ServesAnIdThatComesAgainIfItsClassIsIdempotent) {
+    RouterFixture fixture;
+    fixture.open(1);
+    fixture.router.on_attempt_written(1);
+    fixture.router.on_client_closed(1, CloseReason::reset);
+    fixture.open(1);
+    EXPECT_EQ(fixture.counters[Counter::attempts_started], 2u);
+}
+
 // While the connection of a retry is set up, the deduplication window goes on: the last check before the
 // first byte must see it, not only the one that places the attempt.
 TEST(RequestRouter, HoldsBackRetryWhoseDeduplicationWindowPassedDuringConnect) {
