A request whose client has reset its connection starts no attempt

Cause: the request was not sent on, but its attempt had been begun: each left connection cost a connection to a server and a pass through the policy before its end was read, and the listener's queue grew meanwhile.

Change: RequestIntake drops a request whose client has reset its connection. A client that has only closed its sending side is answered as before.

--- a/src/downstream/downstream.cpp
+++ b/src/downstream/downstream.cpp
@@ -310,6 +310,11 @@
     return it == clients_.end() ? 0 : it->second.connection->unsent_bytes();
 }
 
+bool Downstream::is_reset(RequestId id) const {
+    const auto it = clients_.find(id);
+    return it != clients_.end() && it->second.connection->is_reset();
+}
+
 void Downstream::poll_now(RequestId id) {
     Client* const client = find(id);
     if (client) client->connection->poll_now();
--- a/src/downstream/downstream.h
+++ b/src/downstream/downstream.h
@@ -99,6 +99,7 @@
     void pause_reading(RequestId, bool paused) override;
     size_t unsent_bytes(RequestId) const override;
     void poll_now(RequestId) override;
+    bool is_reset(RequestId) const override;
 
    private:
     void on_accepted(FileDescriptor socket);
--- a/src/downstream/downstream_interface.h
+++ b/src/downstream/downstream_interface.h
@@ -41,6 +41,9 @@
     /// Reads what the client has sent so far without waiting for the event loop. The resulting events,
     /// including the close of the connection, are reported before this function returns.
     virtual void poll_now(RequestId) = 0;
+
+    /// Returns whether the client has reset its connection. Bytes that it sent before may still be unread.
+    virtual bool is_reset(RequestId) const = 0;
 };
 
 /// Receives the events of client connections. Each event names the request; an id identifies one connection.
--- a/src/router/request_intake.cpp
+++ b/src/router/request_intake.cpp
@@ -29,6 +29,7 @@
         context_.counters.add(Counter::ids_run_already);
         return reject_malformed(id, line, RequestLineError::id_has_run);
     }
+    if (context_.downstream.is_reset(id)) return drop(id);
     const TimePoint now = context_.environment.now();
     const bool is_new = parsed->established_server.empty();
     const auto origin = is_new ? AdmissionControl::RequestOrigin::new_request
@@ -41,6 +42,13 @@
         adopt(id, std::move(*parsed), now);
 }
 
+// Nothing can reach this client any more: an attempt would only cost its server a connection.
+void RequestIntake::drop(RequestId id) {
+    context_.counters.add(Counter::requests_left_by_client);
+    context_.log.debug("request_left", {{"request", id}, {"by", "reset"}, {"established", false}});
+    context_.downstream.close(id, CloseReason::reset);
+}
+
 void RequestIntake::reject_malformed(RequestId id, std::string_view line, RequestLineError error) {
     context_.counters.add(Counter::malformed_client_lines);
     context_.log.debug("request_malformed",
--- a/src/router/request_intake.h
+++ b/src/router/request_intake.h
@@ -22,6 +22,7 @@
     void on_request_line(RequestId, std::string_view line);
 
    private:
+    void drop(RequestId);
     void reject_malformed(RequestId, std::string_view line, RequestLineError);
     void reject(RequestId, const RequestLine&, const AdmissionRejection&);
     void accept(RequestId, RequestLine, TimePoint now);
--- a/src/transport/line_connection.cpp
+++ b/src/transport/line_connection.cpp
@@ -1,5 +1,6 @@
 #include "transport/line_connection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -133,6 +134,13 @@
     socket_.close();
 }
 
+bool LineConnection::is_reset() const {
+    if (is_closed()) return true;
+    pollfd state{socket_.get(), 0, 0};
+    constexpr int no_wait = 0;
+    return poll(&state, 1, no_wait) > 0 && (state.revents & POLLERR) != 0;
+}
+
 bool LineConnection::has_unread_bytes() const {
     char byte = 0;
     if (is_closed()) return false;
--- a/tests/router/router_fixture.h
+++ b/tests/router/router_fixture.h
@@ -27,6 +27,7 @@
 struct FakeDownstream : DownstreamInterface {
     Lines actions;
     size_t unsent = 0;
+    bool is_client_reset = false;
     std::function<void(RequestId)> on_poll = [](RequestId) {};
 
     void record(const std::string& action, RequestId id, std::string_view bytes = "") {
@@ -43,6 +44,7 @@
     void pause_reading(RequestId id, bool is_paused) override { record(is_paused ? "pause" : "resume", id); }
     size_t unsent_bytes(RequestId) const override { return unsent; }
     void poll_now(RequestId id) override { on_poll(id); }
+    bool is_reset(RequestId) const override { return is_client_reset; }
 };
 
 /// Records the bytes that the router sends to servers, and the actions "close", "reset", "pause", "resume".
--- a/tests/router/test_request_router.cpp
+++ b/tests/router/test_request_router.cpp
@@ -93,6 +93,17 @@
     }
 }
 
+// Guards against connections to servers for clients that are gone before their request line is read.
+TEST(RequestRouter, StartsNoAttemptIfTheClientHasResetItsConnection) {
+    RouterFixture fixture;
+    fixture.downstream.is_client_reset = true;
+    fixture.open(1);
+    EXPECT_EQ(fixture.counters[Counter::attempts_started], 0u);
+    EXPECT_EQ(fixture.counters[Counter::requests_left_by_client], 1u);
+    EXPECT_EQ(fixture.downstream.actions, Lines{"reset 1"});
+    EXPECT_TRUE(fixture.router.is_drained());
+}
+
 // A second run of an idempotent request is harmless.
 TEST(RequestRouter, ServesAnIdThatComesAgainIfItsClassIsIdempotent) {
     RouterFixture fixture;
