After a new configuration the list is outdated after 4 s while its discovery rejects

Cause: the new address had the usual 6 s from the reload on. Another reload began the time anew.

Change: EndpointStaleness::reconfigured. Once the new address was reached without a list, the list is stale from 3.9 s after the reload on; a reload before its answer gives no more time. An address that is never reached leaves the old list in use, as before.

--- a/src/discovery/endpoint_staleness.cpp
+++ b/src/discovery/endpoint_staleness.cpp
@@ -8,6 +8,8 @@
 
 // Time after which a list counts as known to every balancer, by the operators' acceptance terms.
 constexpr Duration propagation_allowance = seconds(6);
+// Time from a new configuration until what its discovery address has counts as known, by the same terms.
+constexpr Duration reconfiguration_allowance = seconds(4);
 // Leaves time to write an attempt that has just passed the staleness check.
 constexpr Duration write_margin = millis(100);
 // Longest time for which a process may be held up between reading its clock and writing, by the operators'
@@ -22,10 +24,25 @@
     return std::max(Duration{}, drain_grace - max_hold_up - process_start_margin);
 }
 
+EndpointStaleness EndpointStaleness::reconfigured(TimePoint now) {
+    EndpointStaleness staleness(now);
+    staleness.known_by_ = now + reconfiguration_allowance - write_margin;
+    return staleness;
+}
+
+void EndpointStaleness::on_list_received(TimePoint now) {
+    state_ = {now, {}};
+    known_by_.reset();
+}
+
+void EndpointStaleness::limit(TimePoint stale_from) {
+    state_.stale_from = std::min(state_.stale_from.value_or(stale_from), stale_from);
+}
+
 void EndpointStaleness::on_request_failed(TimePoint now, bool was_reached) {
     if (was_reached) {
-        const TimePoint stale_from = state_.confirmed_until + propagation_allowance - write_margin;
-        state_.stale_from = std::min(state_.stale_from.value_or(stale_from), stale_from);
+        limit(state_.confirmed_until + propagation_allowance - write_margin);
+        if (known_by_) limit(*known_by_);
         return;
     }
     // That discovery cannot be reached now says nothing of the time in which it could be reached: a change
--- a/src/discovery/endpoint_staleness.h
+++ b/src/discovery/endpoint_staleness.h
@@ -37,8 +37,12 @@
         return EndpointStaleness({now, usable_until});
     }
 
+    /// Describes the list of a discovery address to which a new configuration has moved the balancer at
+    /// `now`.
+    [[nodiscard]] static EndpointStaleness reconfigured(TimePoint now);
+
     /// Records that the service has answered with its list or reported that nothing has changed.
-    void on_list_received(TimePoint now) { state_ = {now, {}}; }
+    void on_list_received(TimePoint now);
 
     /// Records that a request returned no list. `was_reached`: some bytes were received all the same, so
     /// other balancers may have received the list.
@@ -47,8 +51,12 @@
     bool is_stale(TimePoint now) const { return state_.stale_from && now > *state_.stale_from; }
     const State& state() const { return state_; }
 
+    /// Makes the list stale at `stale_from` at the latest unless it is received again.
+    void limit(TimePoint stale_from);
+
    private:
     State state_;
+    std::optional<TimePoint> known_by_;  // when all that discovery has counts as known, if it can be reached
 };
 
 }  // namespace headrouter
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -73,7 +73,11 @@
 }
 
 void DiscoveryWatch::switch_to(const BootstrapConfig& config) {
+    EndpointStaleness staleness = EndpointStaleness::reconfigured(Clock::now());
+    // Another reload before the address has answered gives no more time.
+    if (next_ && next_->staleness().stale_from) staleness.limit(*next_->staleness().stale_from);
     next_ = make_client(config);
+    next_->set_staleness(staleness);
     next_->start();
 }
 
--- a/tests/discovery/test_endpoint_staleness.cpp
+++ b/tests/discovery/test_endpoint_staleness.cpp
@@ -30,6 +30,29 @@
     }
 }
 
+// Guards against requests to servers whose drain counts as known 4 s after a new configuration, while the new
+// address rejects requests.
+TEST(EndpointStaleness, ListIsStaleFourSecondsAfterANewConfigurationIfDiscoveryCanBeReached) {
+    EndpointStaleness rejected = EndpointStaleness::reconfigured(start);
+    rejected.on_request_failed(after(0.1), true);
+    EXPECT_FALSE(rejected.is_stale(after(3.8)));
+    EXPECT_TRUE(rejected.is_stale(after(4)));
+    rejected.on_list_received(after(5));
+    rejected.on_request_failed(after(6), true);
+    EXPECT_FALSE(rejected.is_stale(after(10.8)));  // now the usual time holds
+    EXPECT_TRUE(rejected.is_stale(after(11)));
+
+    EndpointStaleness unreachable = EndpointStaleness::reconfigured(start);
+    unreachable.on_request_failed(after(3), false);
+    EXPECT_FALSE(unreachable.is_stale(after(60)));  // a mistyped address must not stop the balancer
+    unreachable.on_request_failed(after(60), true);
+    EXPECT_TRUE(unreachable.is_stale(after(60)));
+
+    EndpointStaleness limited = EndpointStaleness::reconfigured(start);
+    limited.limit(after(1));
+    EXPECT_TRUE(limited.is_stale(after(1.01)));
+}
+
 // A request may be sent late by a hold-up of 0.15 s, and the first moment of a process precedes its clock.
 TEST(EndpointStaleness, UseOfAnUnconfirmedListEndsBeforeTheDrainGrace) {
     EXPECT_GT(unconfirmed_use_time(seconds(3)), seconds(2.5));
--- a/tests/proxy/test_outdated_list.cpp
+++ b/tests/proxy/test_outdated_list.cpp
@@ -162,6 +162,36 @@
     EXPECT_TRUE(is_sent_to_server(fixture, discovery));
 }
 
+// Guards against requests to servers that drain, sent later than 4 s after a new configuration whose
+// discovery rejects requests; a second configuration must not give the balancer more time.
+TEST(OutdatedList, ListIsOutdatedFourSecondsAfterAReloadToADiscoveryThatRejects) {
+    BalancerFixture fixture({.discovery_mode = "ask"});
+    Discovery old_discovery(fixture, Discovery::Manner::serves);
+    old_discovery.run_for(seconds(0.3));
+    const Listener rejecting;
+    BootstrapConfig next = fixture.config;
+    next.discovery = rejecting.address;
+    const TimePoint reloaded = Clock::now();
+    fixture.balancer->reload(next);
+    std::vector<Peer> rejected;
+    const auto run_until = [&](Duration after_reload) {
+        while (Clock::now() < reloaded + after_reload) {
+            if (std::optional<Peer> peer = rejecting.try_accept()) {
+                peer->write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+                rejected.push_back(std::move(*peer));
+            }
+            old_discovery.run_for(millis(10));
+        }
+    };
+    run_until(seconds(2));
+    EXPECT_FALSE(rejected.empty());
+    fixture.balancer->reload(next);
+    run_until(seconds(3.5));
+    EXPECT_TRUE(is_sent_to_server(fixture, old_discovery));
+    run_until(seconds(4.1));
+    EXPECT_FALSE(is_sent_to_server(fixture, old_discovery));
+}
+
 // While discovery cannot be reached, no balancer can learn of a change: the list stays in use.
 TEST(OutdatedList, PolledListStaysInUseDuringAnOutage) {
     BalancerFixture fixture({.discovery_mode = "ask", .drain_grace = seconds(0.5)});
