Discovery: the 6 s after which changes count as known stand in one place

Cause: three files held the same constant, each with its own reason. Change: src/discovery/propagation_allowance.h; no behaviour. Result: test_endpoint_staleness and test_reported_drains pass.

--- a/src/discovery/endpoint_staleness.cpp
+++ b/src/discovery/endpoint_staleness.cpp
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 
+#include "discovery/propagation_allowance.h"
+
 namespace headrouter {
 
 namespace {
 
-// Time after which a list counts as known to every balancer, by the operators' acceptance terms.
-constexpr Duration propagation_allowance = seconds(6);
-// Time from a new configuration until what its discovery address has counts as known, by the same terms.
+// Time from a new configuration until what its discovery address has counts as known, by the operators'
+// acceptance terms.
 constexpr Duration reconfiguration_allowance = seconds(4);
 // Leaves time to write an attempt that has just passed the staleness check.
 constexpr Duration write_margin = millis(100);
--- a/src/discovery/late_polls.cpp
+++ b/src/discovery/late_polls.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "discovery/propagation_allowance.h"
+
 namespace headrouter {
 
 namespace {
@@ -9,10 +11,9 @@
 // The kept requests are this far apart, so a slow service answers one of them at most this much later than it
 // would have answered the dropped ones.
 constexpr Duration min_interval = seconds(1);
-// Time after which a change counts as known to the balancer, by the operators' acceptance terms, and the
-// interval: later answers bring only what counts as known. The oldest request is kept longer, so that an
-// agent which is slower than that is still heard.
-constexpr Duration max_age = seconds(6) + min_interval;
+// Later answers bring only what counts as known. The oldest request is kept longer, so that an agent which is
+// slower than that is still heard.
+constexpr Duration max_age = propagation_allowance + min_interval;
 
 }  // namespace
 
--- a/src/discovery/reported_drains.cpp
+++ b/src/discovery/reported_drains.cpp
@@ -4,14 +4,12 @@
 #include <unordered_set>
 #include <utility>
 
+#include "discovery/propagation_allowance.h"
+
 namespace headrouter {
 
 namespace {
 
-// Time after which a change counts as known to every balancer, by the operators' acceptance terms. An address
-// that lists the endpoint as active then knows of the drain and of its end.
-constexpr Duration propagation_allowance = seconds(6);
-
 bool was_restarted(const Endpoint& endpoint, const std::optional<TimePoint>& launched_before) {
     return endpoint.launched && (!launched_before || *endpoint.launched > *launched_before);
 }
@@ -67,6 +65,7 @@
     if (found == reports_.end() || endpoint.state != EndpointState::active) return std::nullopt;
     const Report& report = found->second;
     if (report.is_active || !report.is_of_earlier_address) return std::nullopt;
+    // An address that lists the endpoint as active then knows of the drain and of its end.
     const TimePoint until = report.at + propagation_allowance;
     if (now >= until || was_restarted(endpoint, report.launched)) return std::nullopt;
     return until;
