Lab: the settings of a scenario state its drain grace

Cause: a balancer limits the use of a stored list by invariants.drainGraceNs, which the platform always states and the lab did not, so the limit was never played there. Change: settings_json writes it.

--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -87,11 +87,12 @@
     o << R"(,"az":)" << d.zone << R"(,"discovery":"push","stepNs":0,"ceilings":{"maxLegs":)" << d.max_attempts
       << R"(,"dialTimeoutNs":)" << w.connect_time.ns << R"(,"retryAfter":)"
       << (d.advises_retry_after ? "true" : "false") << R"(,"maxRetryAfterNs":)" << d.max_retry_after.ns
-      << (d.gossip_enabled ? R"(,"peers":true)" : "") << R"(},"invariants":{"coldNs":)"
-      << d.slow_start_time.ns << R"(,"coldShare":)" << least_cold_share(w) << R"(,"fallMultiple":)"
-      << d.overload_multiple << R"(,"fallNs":)" << d.overload_window.ns << R"(},"charges":{"crossZone":)"
-      << w.cross_zone_cost << R"(},"domain":{"mode":"proxy","groups":)" << (d.groups ? "true" : "false")
-      << R"(,"tellsDelay":)" << (w.tells_delay ? "true" : "false") << R"(,"messageAimNs":[)";
+      << (d.gossip_enabled ? R"(,"peers":true)" : "") << R"(},"invariants":{"drainGraceNs":)"
+      << w.drain_grace.ns << R"(,"coldNs":)" << d.slow_start_time.ns << R"(,"coldShare":)"
+      << least_cold_share(w) << R"(,"fallMultiple":)" << d.overload_multiple << R"(,"fallNs":)"
+      << d.overload_window.ns << R"(},"charges":{"crossZone":)" << w.cross_zone_cost
+      << R"(},"domain":{"mode":"proxy","groups":)" << (d.groups ? "true" : "false") << R"(,"tellsDelay":)"
+      << (w.tells_delay ? "true" : "false") << R"(,"messageAimNs":[)";
     for (size_t k = 0; k < d.request_classes.size(); ++k)
         o << (k ? "," : "") << d.request_classes[k].message_objective.ns;
     o << "]";
