A shared discovery is heard however late its answers are

Cause: each request was given up at its response timeout by closing its connection, and no failure made that time longer; the service works for it all the same.

Change: as for a local agent, a late request stays open beside the next one. The pace of requests is as before: a late answer does not shorten the next timeout or pause (PollBackoff::on_late_success).

--- a/src/discovery/poll_backoff.cpp
+++ b/src/discovery/poll_backoff.cpp
@@ -14,9 +14,9 @@
 constexpr Duration agent_watch_time = seconds(0.5);
 constexpr Duration agent_watch_timeout = seconds(0.4);
 constexpr Duration agent_snapshot_timeout = seconds(0.7);
-// An agent that is only slow answers after these times. Its answer is awaited as long as the longest watch
-// that the protocol allows.
-constexpr Duration agent_late_response_timeout = seconds(60);
+// An agent or a service that is only slow answers after the response timeouts. Its answer is awaited as long
+// as the longest watch that the protocol allows.
+constexpr Duration longest_late_response = seconds(60);
 // While the agent is down, requests follow in quick succession, each on a new connection: the kernel
 // repeats an unanswered connect only after one second, then after two.
 constexpr Duration failing_agent_watch_time = millis(50);
@@ -86,9 +86,7 @@
     return is_failing_ ? failing_agent_watch_timeout : agent_watch_timeout;
 }
 
-Duration PollBackoff::late_response_timeout() const {
-    return is_shared() ? Duration{} : agent_late_response_timeout;
-}
+Duration PollBackoff::late_response_timeout() const { return longest_late_response; }
 
 // Balancers that were rejected together received the same Retry-After: each waits at least that long, plus a
 // random time of up to the same length.
@@ -102,6 +100,10 @@
     return is_shared() ? pause * (min_pause_fraction + (1 - min_pause_fraction) * jitter_.uniform()) : pause;
 }
 
+void PollBackoff::on_late_success() {
+    if (!is_shared()) on_success();
+}
+
 void PollBackoff::on_success() {
     is_failing_ = false;
     is_following_ = true;
--- a/src/discovery/poll_backoff.h
+++ b/src/discovery/poll_backoff.h
@@ -32,17 +32,22 @@
     /// `is_snapshot_request`: whether the request is for the whole list.
     Duration response_timeout(bool is_snapshot_request) const;
 
-    /// Returns how long a request may be answered in all, if others are sent meanwhile; zero if a request is
-    /// given up at its response timeout.
+    /// Returns how long a request may be answered in all; others are sent meanwhile, from its response
+    /// timeout on.
     Duration late_response_timeout() const;
 
     /// Records a failure and returns the pause before the next request, which grows with consecutive
     /// failures. `retry_after`: delay that the service asked for, zero if none.
     Duration next_pause(PollFailure failure, Duration retry_after = {});
 
-    /// Records that a request returned a list or a delta: the pauses start again from the shortest.
+    /// Records that a request returned a list or a delta within its response timeout: the pauses start again
+    /// from the shortest.
     void on_success();
 
+    /// Records that a request returned a list or a delta after its response timeout. A shared service that
+    /// answers late is crowded: requests to it stay as rare as after a failure.
+    void on_late_success();
+
    private:
     /// Doubles a pause with each failure, up to a limit.
     struct ExponentialPause {
--- a/src/discovery/watch_client.cpp
+++ b/src/discovery/watch_client.cpp
@@ -1,5 +1,6 @@
 #include "discovery/watch_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "transport/clock.h"
@@ -52,10 +53,8 @@
         PollConnectionEvents& events = *this;
         current_ = std::make_unique<PollConnection>(loop_, address_, host_, events);
     }
-    const Duration late_timeout = backoff_.late_response_timeout();
-    const bool is_kept_when_late = late_timeout > timeout;
-    if (is_kept_when_late) overdue_timer_.start_once(timeout);
-    current_->send(request, is_kept_when_late ? late_timeout : timeout);
+    overdue_timer_.start_once(timeout);
+    current_->send(request, std::max(timeout, backoff_.late_response_timeout()));
 }
 
 void WatchClient::on_overdue() {
@@ -131,7 +130,9 @@
     const bool is_overtaken = is_older && (is_late(connection) || connection.since() != version_);
     if (is_late(connection)) {
         connection.close();
-        if (!lacks_snapshot && !is_overtaken) accept(update);
+        if (lacks_snapshot || is_overtaken) return;
+        backoff_.on_late_success();
+        accept(update);
         return;
     }
     if (lacks_snapshot) {
@@ -146,6 +147,7 @@
     }
     if (is_failing_) log_.info("discovery_recovered");
     is_failing_ = false;
+    if (!is_overtaken) backoff_.on_success();
     const bool has_changes = !is_overtaken && accept(update);
     if (has_changes)
         request_update();
@@ -154,7 +156,6 @@
 }
 
 bool WatchClient::accept(const EndpointUpdate& update) {
-    backoff_.on_success();
     staleness_.on_list_received(Clock::now());
     version_ = update.version;
     has_list_ = true;
--- a/src/discovery/watch_client.h
+++ b/src/discovery/watch_client.h
@@ -72,7 +72,7 @@
     Log& log_;
     UpdateHandler update_handler_;
     TimerWatcher pause_timer_;
-    TimerWatcher overdue_timer_;  // of the current request, if that is kept open when its response is late
+    TimerWatcher overdue_timer_;  // of the current request, which is kept open when its response is late
     std::unique_ptr<PollConnection> current_;  // of the latest request; null once that is overdue
     LatePolls late_polls_;
     EndpointStaleness staleness_;
--- a/tests/proxy/test_slow_discovery.cpp
+++ b/tests/proxy/test_slow_discovery.cpp
@@ -150,6 +150,35 @@
     }
 }
 
+// Guards against a balancer that gives up each request to a crowded shared service before its answer comes,
+// and so never learns that a server drains.
+TEST(SlowDiscovery, DrainIsKnownInTimeBesideASlowSharedService) {
+    for (const double late : {1.2, 2.0, 2.8}) {
+        SCOPED_TRACE(late);
+        BalancerFixture fixture({.discovery_mode = "ask"});
+        SlowAgent service(fixture);
+        service.set_delay(seconds(late));
+        EXPECT_TRUE(service.runs_until_updates(1, propagation_allowance));
+        service.step_for(seconds(1));
+        service.change("DRAINING");
+        constexpr int steps = 3;  // a step takes two seconds at most
+        for (int k = 0; k < steps; ++k) service.step_for(propagation_allowance * (1.0 / steps));
+        expect_no_attempt(fixture);
+    }
+}
+
+// The same after a new configuration: the new address is heard although each of its answers is late.
+TEST(SlowDiscovery, SlowSharedServiceOfANewConfigurationIsHeard) {
+    BalancerFixture fixture({.discovery_mode = "ask"});
+    fixture.balancer->reload(fixture.config);
+    fixture.discovery = fixture.accept(fixture.discovery_listener);
+    SlowAgent service(fixture);
+    service.set_delay(seconds(2.8));
+    service.change("DRAINING");
+    EXPECT_TRUE(service.runs_until_updates(1, propagation_allowance));
+    expect_no_attempt(fixture);
+}
+
 TEST(SlowDiscovery, ChangesAreKnownInTimeWhileLatenessVaries) {
     for (const unsigned seed : {1U, 2U}) {
         SCOPED_TRACE(seed);
