--- a/src/discovery/poll_backoff.cpp
+++ b/src/discovery/poll_backoff.cpp
@@ -86,7 +86,7 @@
     return is_failing_ ? failing_agent_watch_timeout : agent_watch_timeout;
 }
 
-Duration PollBackoff::late_response_timeout() const { return longest_late_response; }
+Duration PollBackoff::late_response_timeout() { return longest_late_response; }
 
 // Balancers that were rejected together received the same Retry-After: each waits at least that long, plus a
 // random time of up to the same length.
--- a/src/discovery/poll_backoff.h
+++ b/src/discovery/poll_backoff.h
@@ -34,7 +34,7 @@
 
     /// Returns how long a request may be answered in all; others are sent meanwhile, from its response
     /// timeout on.
-    Duration late_response_timeout() const;
+    static Duration late_response_timeout();
 
     /// Records a failure and returns the pause before the next request, which grows with consecutive
     /// failures. `retry_after`: delay that the service asked for, zero if none.
--- a/src/discovery/watch_client.cpp
+++ b/src/discovery/watch_client.cpp
@@ -54,7 +54,7 @@
         current_ = std::make_unique<PollConnection>(loop_, address_, host_, events);
     }
     overdue_timer_.start_once(timeout);
-    current_->send(request, std::max(timeout, backoff_.late_response_timeout()));
+    current_->send(request, std::max(timeout, PollBackoff::late_response_timeout()));
 }
 
 void WatchClient::on_overdue() {
--- a/tests/proxy/hostile_clients_fixture.h
+++ b/tests/proxy/hostile_clients_fixture.h
@@ -219,6 +219,8 @@
         balancer = start();
         server = std::make_unique<EchoServer>(server_listener);
     }
+    HostileClientsFixture(const HostileClientsFixture&) = delete;
+    HostileClientsFixture& operator=(const HostileClientsFixture&) = delete;
     ~HostileClientsFixture() { server.reset(); }
 
     /// Sends a request as a usual client. Returns the time until it is established, or nothing if it was not
@@ -252,7 +254,7 @@
         return longest;
     }
 
-    void report(const std::string& what, Duration longest) {
+    void report(const std::string& what, Duration longest) const {
         std::cout << what << ": longest time to establish " << to_seconds(longest) << " s, peak memory "
                   << peak_memory_mb(balancer.pid) << " MB, requests at the server " << server->total_runs()
                   << '\n';
