A connection that is reset when it is accepted is closed unread

Cause, traced: in a failed play the queue of the balancer's listener stood at 4,097 of 4,096 (/proc/net/tcp) and ListenOverflows grew, so the kernel dropped the usual client's connect. Each dead connection was registered, read and parsed before its end was seen.

Change: Downstream::on_accepted closes a connection whose peer has reset it (counter connections_reset_in_queue). RequestIntake's look at the same thing uses the MSG_PEEK that was there in place of poll, a call that the socket code did not use.

ConnectionEnds.ClosesAConnectionUnread... is new.

--- a/src/admin/counters.cpp
+++ b/src/admin/counters.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::array<CounterName, counter_count> counter_names{{
     {Counter::connections_accepted, "conns_taken_in"},
+    {Counter::connections_reset_in_queue, "connections_reset_in_queue"},
     {Counter::requests_accepted, "calls_taken_in"},
     {Counter::requests_adopted, "calls_inherited"},
     {Counter::requests_established, "calls_up"},
--- a/src/admin/counters.h
+++ b/src/admin/counters.h
@@ -15,6 +15,7 @@
 /// counters.cpp and must not change, even if an enumerator is renamed.
 enum class Counter {
     connections_accepted,
+    connections_reset_in_queue,
     requests_accepted,
     requests_adopted,
     requests_established,
--- a/src/downstream/downstream.cpp
+++ b/src/downstream/downstream.cpp
@@ -111,6 +111,9 @@
 }
 
 void Downstream::on_accepted(FileDescriptor socket) {
+    // Nothing can reach this client any more. Usual clients wait in the listener's queue behind such
+    // connections, so they cost as little as possible.
+    if (pending_error(socket.get()) != 0) return counters_.add(Counter::connections_reset_in_queue);
     if (idle_clients_.size() >= descriptor_limit_.max_idle_clients()) evict_idle(eviction_grace);
     free_descriptors(min_free_descriptors);
     if (descriptor_limit_.allows(min_free_descriptors))
--- a/src/downstream/downstream_interface.h
+++ b/src/downstream/downstream_interface.h
@@ -42,7 +42,7 @@
     /// including the close of the connection, are reported before this function returns.
     virtual void poll_now(RequestId) = 0;
 
-    /// Returns whether the client has reset its connection. Bytes that it sent before may still be unread.
+    /// Returns whether the client has reset its connection and no bytes that it sent before are unread.
     virtual bool is_reset(RequestId) const = 0;
 };
 
--- a/src/transport/line_connection.cpp
+++ b/src/transport/line_connection.cpp
@@ -1,6 +1,5 @@
 #include "transport/line_connection.h"
 
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -20,6 +19,16 @@
 // the kernel may not support that flag for TCP and may write to the buffer, so the buffer must really exist.
 char discard_buffer[1 << 20];
 
+// Looks at the next byte without reading it. Returns what recv returns.
+ssize_t peek(int socket) {
+    char byte = 0;
+    ssize_t count = -1;
+    do {
+        count = recv(socket, &byte, 1, MSG_PEEK);
+    } while (count < 0 && errno == EINTR);
+    return count;
+}
+
 ssize_t discard_once(int socket) { return recv(socket, discard_buffer, sizeof discard_buffer, MSG_TRUNC); }
 }  // namespace
 
@@ -136,20 +145,10 @@
 
 bool LineConnection::is_reset() const {
     if (is_closed()) return true;
-    pollfd state{socket_.get(), 0, 0};
-    constexpr int no_wait = 0;
-    return poll(&state, 1, no_wait) > 0 && (state.revents & POLLERR) != 0;
+    return peek(socket_.get()) < 0 && !is_transient_receive_error(errno);
 }
 
-bool LineConnection::has_unread_bytes() const {
-    char byte = 0;
-    if (is_closed()) return false;
-    ssize_t count = -1;
-    do {
-        count = recv(socket_.get(), &byte, 1, MSG_PEEK);
-    } while (count < 0 && errno == EINTR);
-    return count > 0;
-}
+bool LineConnection::has_unread_bytes() const { return !is_closed() && peek(socket_.get()) > 0; }
 
 void LineConnection::report_closed(CloseReason reason) {
     if (close_reported_) return;
--- a/src/transport/line_connection.h
+++ b/src/transport/line_connection.h
@@ -121,7 +121,8 @@
     /// Returns the number of bytes already read after the line being delivered. Valid only during `on_bytes`.
     size_t bytes_after_line() const { return bytes_after_line_; }
 
-    /// Returns whether the peer has reset the connection, whether or not that has been reported as an event.
+    /// Returns whether the peer has reset the connection and no bytes that it sent before are unread, whether
+    /// or not that has been reported as an event.
     bool is_reset() const;
 
     /// Returns whether the kernel holds received bytes that were not read.
--- a/src/transport/socket.h
+++ b/src/transport/socket.h
@@ -70,7 +70,8 @@
 /// failure, returns an empty FileDescriptor and sets errno.
 [[nodiscard]] FileDescriptor connect_to(const Address&);
 
-/// Returns the result of a finished connect as an errno value; 0 if the connection is established.
+/// Returns the pending error of a socket as an errno value: of a connect that has finished, or of a
+/// connection that the peer has reset; 0 if there is none. Takes the error from the socket.
 [[nodiscard]] int pending_error(int socket);
 
 /// Makes the socket send small lines at once instead of waiting for more bytes (TCP_NODELAY).
--- a/tests/proxy/test_connection_ends.cpp
+++ b/tests/proxy/test_connection_ends.cpp
@@ -84,6 +84,17 @@
     }
 }
 
+// Guards against usual clients that wait behind connections whose clients have left the listener's queue.
+TEST(ConnectionEnds, ClosesAConnectionUnreadIfItIsResetWhenItIsAccepted) {
+    BalancerFixture fixture;
+    Peer departed = fixture.connect_client();
+    departed.send_reset();
+    EXPECT_TRUE(fixture.run_until([&] { return fixture.count(Counter::connections_reset_in_queue) == 1; }));
+    EXPECT_EQ(fixture.count(Counter::requests_accepted), 0u);
+    EXPECT_EQ(fixture.count(Counter::attempts_started), 0u);
+    fixture.establish();
+}
+
 // The server has just rejected the request, and the client has disconnected: the retry sends no byte.
 TEST(ConnectionEnds, DoesNotForwardIfTheClientDisconnectsBetweenTwoAttempts) {
     for (const DisconnectKind& kind : disconnect_kinds) {
