A rejection that discovery sends late counts as one

What callers saw: beside a crowded shared discovery that rejects each request only after the balancer has stopped to wait for it, new requests went to draining servers without end.

Cause: the late response was dropped (WatchClient::on_response), and the time-out before it had counted as "cannot be reached".

Change: EndpointStaleness::on_late_failure, from the time at which the request was sent or the last list received. The age of a list is now an argument of WatchClient::start: no list begins as new by default.

--- a/src/discovery/endpoint_staleness.cpp
+++ b/src/discovery/endpoint_staleness.cpp
@@ -13,6 +13,8 @@
 constexpr Duration reconfiguration_allowance = seconds(4);
 // Leaves time to write an attempt that has just passed the staleness check.
 constexpr Duration write_margin = millis(100);
+// Time for which a list is used after discovery confirmed it, if discovery could be reached since.
+constexpr Duration use_time = propagation_allowance - write_margin;
 // Longest time for which a process may be held up between reading its clock and writing, by the operators'
 // acceptance terms.
 constexpr Duration max_hold_up = millis(150);
@@ -33,16 +35,22 @@
 
 void EndpointStaleness::on_list_received(TimePoint now) {
     state_ = {now, {}};
+    received_at_ = now;
     known_by_.reset();
 }
 
+EndpointStaleness::State EndpointStaleness::state() const {
+    State state = state_;
+    return state;
+}
+
 void EndpointStaleness::limit(TimePoint stale_from) {
     state_.stale_from = std::min(state_.stale_from.value_or(stale_from), stale_from);
 }
 
 void EndpointStaleness::on_request_failed(TimePoint now, bool was_reached) {
     if (was_reached) {
-        limit(state_.confirmed_until + propagation_allowance - write_margin);
+        limit(state_.confirmed_until + use_time);
         if (known_by_) limit(*known_by_);
         return;
     }
@@ -51,4 +59,10 @@
     if (!state_.stale_from) state_.confirmed_until = now;
 }
 
+void EndpointStaleness::on_late_failure(TimePoint sent_at) {
+    const TimePoint reached_since = std::max(received_at_, sent_at);
+    state_.confirmed_until = std::min(state_.confirmed_until, reached_since);
+    on_request_failed(state_.confirmed_until, true);
+}
+
 }  // namespace headrouter
--- a/src/discovery/endpoint_staleness.h
+++ b/src/discovery/endpoint_staleness.h
@@ -17,7 +17,8 @@
 /// Tracks how long the endpoint list has been known to be current.
 class EndpointStaleness {
    public:
-    /// What another process needs to continue.
+    /// What another process needs to continue. It does not contain a time limit of `reconfigured()`, which
+    /// `confirmed_until` is moved back for.
     struct State {
         /// End of the time for which the list is known to equal discovery's list, or for which discovery
         /// could not be reached.
@@ -29,9 +30,9 @@
 
     /// Describes a list that equals discovery's list at `confirmed_until`.
     explicit EndpointStaleness(TimePoint confirmed_until) : EndpointStaleness({confirmed_until, {}}) {}
-    explicit EndpointStaleness(const State& state) : state_(state) {}
+    explicit EndpointStaleness(const State& state) : state_(state), received_at_(state.confirmed_until) {}
 
-    /// Describes a list of unknown age, such as a stored one, that must not be used after `usable_until`
+    /// Describes a list of unknown age, such as a cached one, that must not be used after `usable_until`
     /// unless discovery confirms it.
     [[nodiscard]] static EndpointStaleness unconfirmed(TimePoint now, TimePoint usable_until) {
         return EndpointStaleness({now, usable_until});
@@ -48,14 +49,19 @@
     /// other balancers may have received the list.
     void on_request_failed(TimePoint now, bool was_reached);
 
+    /// Records that a request sent at `sent_at`, which was recorded as failed without being reached when its
+    /// response was overdue, has received something that is no list: discovery could be reached all the time.
+    void on_late_failure(TimePoint sent_at);
+
     bool is_stale(TimePoint now) const { return state_.stale_from && now > *state_.stale_from; }
-    const State& state() const { return state_; }
+    State state() const;
 
     /// Makes the list stale at `stale_from` at the latest unless it is received again.
     void limit(TimePoint stale_from);
 
    private:
     State state_;
+    TimePoint received_at_;              // of the last list
     std::optional<TimePoint> known_by_;  // when all that discovery has counts as known, if it can be reached
 };
 
--- a/src/discovery/watch_client.cpp
+++ b/src/discovery/watch_client.cpp
@@ -29,14 +29,17 @@
       log_(log),
       update_handler_(std::move(on_update)),
       pause_timer_(loop, [this] { request_update(); }),
-      overdue_timer_(loop, [this] { on_overdue(); }),
-      staleness_(Clock::now()) {}
+      overdue_timer_(loop, [this] { on_overdue(); }) {}
 
-void WatchClient::start() { request_update(); }
+void WatchClient::start(const EndpointStaleness& staleness) {
+    staleness_ = staleness;
+    request_update();
+}
 
 // The first request is both a fetch of the missing changes and the first watch: if a hundred balancers start
 // together, a shared service rejects a second request of each.
-void WatchClient::start_from(int64_t version) {
+void WatchClient::start_from(int64_t version, const EndpointStaleness& staleness) {
+    staleness_ = staleness;
     version_ = version;
     has_list_ = true;
     request_update();
@@ -84,9 +87,18 @@
     fail_unreachable(reason, true);
 }
 
-// The failure of an overdue request was recorded when it became overdue.
+// The failure of an overdue request was recorded when it became overdue. That discovery was reached is new:
+// it may have answered other balancers.
+void WatchClient::on_late_failure(PollConnection& connection) {
+    staleness_.on_late_failure(connection.sent_at());
+    connection.close();
+}
+
 void WatchClient::on_error(PollConnection& connection, HttpError error, bool was_reached) {
-    if (is_late(connection)) return;
+    if (is_late(connection)) {
+        if (was_reached) on_late_failure(connection);
+        return;
+    }
     fail_unreachable(describe(error), was_reached);
 }
 
@@ -100,7 +112,7 @@
         overdue_timer_.stop();
     }
     if (response.status != status_ok) {
-        if (is_late(connection)) return connection.close();
+        if (is_late(connection)) return on_late_failure(connection);
         fail("the response status is not 200", true,
              backoff_.next_pause(PollFailure::rejected, response.retry_after));
         return;
@@ -112,7 +124,7 @@
         counters_.add(Counter::endpoint_updates_malformed);
         log_.warning("endpoint_list_malformed", {{"reason", error.what()}});
         // The snapshot also contains the changes that this response failed to deliver.
-        if (is_late(connection)) return connection.close();
+        if (is_late(connection)) return on_late_failure(connection);
         refetch_after("the endpoint list is malformed");
         return;
     }
--- a/src/discovery/watch_client.h
+++ b/src/discovery/watch_client.h
@@ -31,22 +31,17 @@
                 const Clock& clock, PollBackoff backoff, Counters& counters, Log& log,
                 UpdateHandler on_update);
 
-    /// Starts with a request for the whole list.
-    void start();
+    /// Starts with a request for the whole list. `staleness` is that of the list in use.
+    void start(const EndpointStaleness& staleness);
 
-    /// Starts with a request for the changes since `version`, the version of the list that this process
-    /// took over at a hot restart.
-    void start_from(int64_t version);
+    /// Starts with a request for the changes since `version`, the version of the list in use.
+    void start_from(int64_t version, const EndpointStaleness& staleness);
 
     /// Returns the version of the list as this client knows it; -1 if the whole list has to be fetched.
     int64_t version() const { return has_list_ ? version_ : unknown_list_version; }
 
     bool is_stale(TimePoint now) const { return staleness_.is_stale(now); }
-    const EndpointStaleness::State& staleness() const { return staleness_.state(); }
-
-    /// Sets the staleness of the list that is known at the start. Until then that list counts as equal to
-    /// discovery's list when this client was created.
-    void set_staleness(const EndpointStaleness& staleness) { staleness_ = staleness; }
+    EndpointStaleness::State staleness() const { return staleness_.state(); }
 
    private:
     void request_update();
@@ -58,6 +53,7 @@
     bool accept(const EndpointUpdate& update);
     /// Returns whether the response of the connection is late: another request has been sent since.
     bool is_late(const PollConnection& connection) const { return &connection != current_.get(); }
+    void on_late_failure(PollConnection& connection);
     void refetch_after(std::string_view reason);
     void fail(std::string_view reason, bool was_reached, Duration pause);
     void fail_unreachable(std::string_view reason, bool was_reached);
@@ -75,7 +71,7 @@
     TimerWatcher overdue_timer_;  // of the current request, which is kept open when its response is late
     std::unique_ptr<PollConnection> current_;  // of the latest request; null once that is overdue
     LatePolls late_polls_;
-    EndpointStaleness staleness_;
+    EndpointStaleness staleness_{TimePoint{}};  // set by start() or start_from()
     bool has_list_ = false;
     bool is_failing_ = false;  // the last request failed, and that has been logged
     int64_t version_ = 0;
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -65,20 +65,19 @@
 
 void DiscoveryWatch::start(const BootstrapConfig& config, const InitialEndpointList& list) {
     current_ = make_client(config);
-    current_->set_staleness(list.staleness);
     if (list.version < 0)
-        current_->start();
+        current_->start(list.staleness);
     else
-        current_->start_from(list.version);
+        current_->start_from(list.version, list.staleness);
 }
 
 void DiscoveryWatch::switch_to(const BootstrapConfig& config) {
     EndpointStaleness staleness = EndpointStaleness::reconfigured(Clock::now());
     // Another reload before the address has answered gives no more time.
-    if (next_ && next_->staleness().stale_from) staleness.limit(*next_->staleness().stale_from);
+    const std::optional<TimePoint> stale_from = next_ ? next_->staleness().stale_from : std::nullopt;
+    if (stale_from) staleness.limit(*stale_from);
     next_ = make_client(config);
-    next_->set_staleness(staleness);
-    next_->start();
+    next_->start(staleness);
 }
 
 void DiscoveryWatch::stop() {
@@ -95,11 +94,12 @@
 }
 
 EndpointStaleness::State DiscoveryWatch::staleness() const {
-    EndpointStaleness::State state = current_->staleness();
-    if (!next_ || !next_->staleness().stale_from) return state;
-    const TimePoint next_stale_from = *next_->staleness().stale_from;
-    state.stale_from = std::min(state.stale_from.value_or(next_stale_from), next_stale_from);
-    return state;
+    const EndpointStaleness::State current = current_->staleness();
+    if (!next_) return current;
+    const EndpointStaleness::State next = next_->staleness();
+    EndpointStaleness both(current);
+    if (next.stale_from) both.limit(*next.stale_from);
+    return both.state();
 }
 
 void DiscoveryWatch::log_outdated_list(TimePoint now) {
--- a/tests/discovery/test_endpoint_staleness.cpp
+++ b/tests/discovery/test_endpoint_staleness.cpp
@@ -14,7 +14,7 @@
 }  // namespace
 
 // Guards against requests to servers whose drain the local agent has, sent by a process that has only its
-// stored list.
+// cached list.
 TEST(EndpointStaleness, UnconfirmedListIsStaleFromItsTimeOnHoweverRequestsFail) {
     for (const bool was_reached : {true, false}) {
         EndpointStaleness staleness = EndpointStaleness::unconfirmed(start, after(0.5));
@@ -53,6 +53,19 @@
     EXPECT_TRUE(limited.is_stale(after(1.01)));
 }
 
+// Guards against a service that rejects requests so late that each counts as unreachable when it is overdue.
+TEST(EndpointStaleness, LateRejectionCountsFromTheTimeAtWhichItsRequestWasSent) {
+    EndpointStaleness slow(start);
+    slow.on_request_failed(after(4), false);
+    slow.on_late_failure(after(1));
+    EXPECT_FALSE(slow.is_stale(after(6.8)));
+    EXPECT_TRUE(slow.is_stale(after(7)));
+    slow.on_list_received(after(8));
+    slow.on_late_failure(after(2));  // sent before the list was received
+    EXPECT_FALSE(slow.is_stale(after(13.8)));
+    EXPECT_TRUE(slow.is_stale(after(14)));
+}
+
 // A request may be sent late by a hold-up of 0.15 s, and the first moment of a process precedes its clock.
 TEST(EndpointStaleness, UseOfAnUnconfirmedListEndsBeforeTheDrainGrace) {
     EXPECT_GT(unconfirmed_use_time(seconds(3)), seconds(2.5));
--- a/tests/proxy/test_outdated_list.cpp
+++ b/tests/proxy/test_outdated_list.cpp
@@ -1,5 +1,6 @@
 /// Tests of a balancer whose endpoint list may lack drains that count as known: new requests must not go by
 /// it.
+#include <map>
 #include <vector>
 
 #include "proxy/balancer_fixture.h"
@@ -32,6 +33,7 @@
     void reset_connections() {
         for (Peer& peer : connections_) peer.send_reset();
         connections_.clear();
+        due_.clear();
     }
 
     /// Resets all connections and refuses new ones until come_back() is called.
@@ -44,6 +46,7 @@
     }
 
     Manner manner;
+    Duration delay;  ///< of each answer
 
    private:
     void step() {
@@ -55,9 +58,12 @@
         for (Peer& peer : connections_) step(peer);
     }
 
-    void step(Peer& peer) const {
+    void step(Peer& peer) {
         peer.read();
         if (manner == Manner::silent || peer.received.find("\r\n\r\n") == std::string::npos) return;
+        const TimePoint due = due_.emplace(peer.fd.get(), Clock::now() + delay).first->second;
+        if (Clock::now() < due) return;
+        due_.erase(peer.fd.get());
         peer.received.clear();
         if (manner == Manner::rejects) return peer.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
         const std::string list =
@@ -68,6 +74,7 @@
 
     BalancerFixture& fixture_;
     std::vector<Peer> connections_;
+    std::map<int, TimePoint> due_;  // of the answer on each connection with a request, by descriptor
 };
 
 /// Sends a new request; returns whether it reached the only server, and expects BUSY where it did not.
@@ -82,9 +89,9 @@
 
 }  // namespace
 
-// Guards against requests to servers that drain, sent by a process that starts with its stored list while
+// Guards against requests to servers that drain, sent by a process that starts with its cached list while
 // discovery is down and the local agent is silent.
-TEST(OutdatedList, StoredPushedListIsNotUsedPastTheDrainGraceBesideASilentAgent) {
+TEST(OutdatedList, CachedPushedListIsNotUsedPastTheDrainGraceBesideASilentAgent) {
     BalancerFixture fixture({.drain_grace = seconds(1)});
     const TimePoint started = Clock::now();
     Discovery discovery(fixture, Discovery::Manner::silent);
@@ -101,9 +108,9 @@
     EXPECT_NE(fixture.log_text.str().find("endpoint_list_current"), std::string::npos);
 }
 
-// Guards against requests to servers that drain, sent by a process that starts with its stored list while the
+// Guards against requests to servers that drain, sent by a process that starts with its cached list while the
 // shared discovery rejects requests, leaves them waiting or cannot be reached.
-TEST(OutdatedList, StoredPolledListIsNotUsedPastTheDrainGraceWithoutAnAnswerOfDiscovery) {
+TEST(OutdatedList, CachedPolledListIsNotUsedPastTheDrainGraceWithoutAnAnswerOfDiscovery) {
     enum class Trouble { rejects, silent, down };
     for (const Trouble trouble : {Trouble::rejects, Trouble::silent, Trouble::down}) {
         SCOPED_TRACE(static_cast<int>(trouble));
@@ -192,6 +199,22 @@
     EXPECT_FALSE(is_sent_to_server(fixture, old_discovery));
 }
 
+// Guards against requests to servers that drain, sent while a crowded discovery rejects each request only
+// after the balancer has stopped to wait for it.
+TEST(OutdatedList, LateRejectionsMakeTheListOutdated) {
+    BalancerFixture fixture({.discovery_mode = "ask"});
+    Discovery discovery(fixture, Discovery::Manner::serves);
+    discovery.run_for(seconds(0.3));
+    const TimePoint confirmed = Clock::now();
+    discovery.manner = Discovery::Manner::rejects;
+    discovery.delay = seconds(3);  // a watch of 1.5 s and a quarter of the poll interval are shorter
+    discovery.reset_connections();
+    discovery.run_for(confirmed + seconds(5) - Clock::now());
+    EXPECT_TRUE(is_sent_to_server(fixture, discovery));
+    discovery.run_for(confirmed + seconds(7) - Clock::now());
+    EXPECT_FALSE(is_sent_to_server(fixture, discovery));
+}
+
 // While discovery cannot be reached, no balancer can learn of a change: the list stays in use.
 TEST(OutdatedList, PolledListStaysInUseDuringAnOutage) {
     BalancerFixture fixture({.discovery_mode = "ask", .drain_grace = seconds(0.5)});
