A hot restart during a reload asks the new discovery for the whole list

What callers saw: none reported; found on reading. A process that took over while the discovery of a new configuration had not answered asked it for the changes since a version of the old address, so drains could be missed, and counted the 4 s after SIGHUP anew.

Cause: DiscoveryWatch handed over the version of the current address under the name of the next one, and the limit of EndpointStaleness::reconfigured was no part of its state.

Change: no version is handed over while the next address has not answered, and the confirmed time is moved back so that the limit holds; the state's form is as it was. Left: refused first and rejected later, 6 s count from the refusal.

--- a/src/discovery/endpoint_staleness.cpp
+++ b/src/discovery/endpoint_staleness.cpp
@@ -41,6 +41,7 @@
 
 EndpointStaleness::State EndpointStaleness::state() const {
     State state = state_;
+    if (known_by_) state.confirmed_until = std::min(state.confirmed_until, *known_by_ - use_time);
     return state;
 }
 
--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -134,7 +134,7 @@
     return has_cached_list && polls ? config_.cached_endpoints.version : no_endpoint_list;
 }
 
-// The stored list may be old, and nothing says how old: changes that it lacks may count as known from the
+// The cached list may be old, and nothing says how old: changes that it lacks may count as known from the
 // first moment of this process, whether discovery has not answered yet, rejects requests or is unreachable.
 EndpointStaleness Balancer::cached_list_staleness() const {
     const TimePoint now = Clock::now();
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -97,7 +97,7 @@
     const EndpointStaleness::State current = current_->staleness();
     if (!next_) return current;
     const EndpointStaleness::State next = next_->staleness();
-    EndpointStaleness both(current);
+    EndpointStaleness both({std::min(current.confirmed_until, next.confirmed_until), current.stale_from});
     if (next.stale_from) both.limit(*next.stale_from);
     return both.state();
 }
--- a/src/proxy/discovery_watch.h
+++ b/src/proxy/discovery_watch.h
@@ -46,8 +46,9 @@
     bool is_outdated(TimePoint now) const;
     /// Logs when the list becomes outdated and when it is current again. To be called at short intervals.
     void log_outdated_list(TimePoint now);
-    /// Returns the version of the list received last, or no_endpoint_list. Requires is_running().
-    int64_t version() const { return current_->version(); }
+    /// Returns the version of the list received last; no_endpoint_list while the next address has not
+    /// answered, because it counts versions in its own way. Requires is_running().
+    int64_t version() const { return next_ ? no_endpoint_list : current_->version(); }
     /// Returns how long the list is known to be current, and when it becomes stale for the current or the
     /// next address. Requires is_running().
     EndpointStaleness::State staleness() const;
--- a/src/proxy/hot_restart_coordinator.cpp
+++ b/src/proxy/hot_restart_coordinator.cpp
@@ -38,9 +38,9 @@
 }
 
 // All state is restored before the takeover is confirmed, which lets the previous process release its own.
-InitialEndpointList HotRestartCoordinator::take_over(const InitialEndpointList& stored_list) {
+InitialEndpointList HotRestartCoordinator::take_over(const InitialEndpointList& cached_list) {
     const TimePoint start = Clock::now();
-    InitialEndpointList list = stored_list;
+    InitialEndpointList list = cached_list;
     if (child_->has_state())
         list = restore_state();
     else
--- a/src/proxy/hot_restart_coordinator.h
+++ b/src/proxy/hot_restart_coordinator.h
@@ -48,9 +48,9 @@
     [[nodiscard]] bool connect_to_previous();
     /// Takes over the listener, and also all connections and state if both processes have the same state
     /// version. Requires that connect_to_previous() returned true. Returns the endpoint list from which to
-    /// continue: the one taken over, or `stored_list` if none was. Throws HotRestartError if the takeover
+    /// continue: the one taken over, or `cached_list` if none was. Throws HotRestartError if the takeover
     /// fails: this balancer is then unusable, and a new one has to start without a hot restart.
-    [[nodiscard]] InitialEndpointList take_over(const InitialEndpointList& stored_list);
+    [[nodiscard]] InitialEndpointList take_over(const InitialEndpointList& cached_list);
     bool has_previous() const { return child_ != nullptr; }
 
     /// Listens for the next process. A failure is logged, and the balancer serves without hot restart.
--- a/tests/discovery/test_endpoint_staleness.cpp
+++ b/tests/discovery/test_endpoint_staleness.cpp
@@ -53,6 +53,14 @@
     EXPECT_TRUE(limited.is_stale(after(1.01)));
 }
 
+// The process that takes over asks the new address anew; the 4 s must not begin again.
+TEST(EndpointStaleness, StateOfAPendingReconfigurationKeepsItsTimeLimit) {
+    EndpointStaleness taken_over(EndpointStaleness::reconfigured(start).state());
+    taken_over.on_request_failed(after(3), true);
+    EXPECT_FALSE(taken_over.is_stale(after(3.8)));
+    EXPECT_TRUE(taken_over.is_stale(after(4)));
+}
+
 // Guards against a service that rejects requests so late that each counts as unreachable when it is overdue.
 TEST(EndpointStaleness, LateRejectionCountsFromTheTimeAtWhichItsRequestWasSent) {
     EndpointStaleness slow(start);
--- a/tests/hot_restart/test_hot_restart.cpp
+++ b/tests/hot_restart/test_hot_restart.cpp
@@ -73,7 +73,7 @@
     fixture.drain_grace_json = R"("drainGraceNs":1000000000,)";
     const auto old = fixture.start();
     auto request = fixture.establish();
-    fixture.run_for(seconds(1.2));  // the agent is silent: the stored list is not confirmed
+    fixture.run_for(seconds(1.2));  // the agent is silent: the cached list is not confirmed
     Peer before = fixture.connect_client();
     EXPECT_TRUE(fixture.receives(before, "BUSY"));
     const auto next = fixture.start();
@@ -84,6 +84,37 @@
     EXPECT_NE(fixture.admin_reply(next, "METRICS").find(R"("forwards":0,)"), std::string::npos);
 }
 
+// Guards against a process that asks the discovery of a new configuration for the changes since a version of
+// the old one, and so misses drains.
+TEST(HotRestart, NewProcessAsksForTheWholeListIfAReloadedDiscoveryHasNotAnswered) {
+    ProcessFixture fixture;
+    const auto old = fixture.start();
+    Peer old_watch = fixture.accept(fixture.discovery_listener);
+    EXPECT_TRUE(fixture.receives(old_watch, "GET /v1/servers HTTP/1.1\r\n"));
+    const std::string list = R"({"generation":5,"reset":true,"instances":[{"instanceId":"s","hostPort":")" +
+                             fixture.server_listener.address + R"(","zone":"a","lifecycle":"SERVING"}]})";
+    old_watch.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    EXPECT_TRUE(fixture.receives(old_watch, "since=5"));
+    Listener new_discovery;
+    std::swap(fixture.discovery_listener, new_discovery);
+    fixture.write_config(old.admin_address);
+    kill(old.pid, SIGHUP);
+    Peer unanswered = fixture.accept(fixture.discovery_listener);
+    EXPECT_TRUE(fixture.receives(unanswered, "GET /v1/servers HTTP/1.1\r\n"));
+    const auto next = fixture.start();
+    EXPECT_TRUE(fixture.sees_close(unanswered));
+    Peer watch;
+    do {
+        watch = fixture.accept(fixture.discovery_listener);  // late requests of the old process come first
+        fixture.run_until([&] {
+            watch.read();
+            return watch.is_closed() || watch.received.find("\r\n\r\n") != std::string::npos;
+        });
+    } while (watch.is_closed());
+    EXPECT_EQ(watch.received.find("GET /v1/servers HTTP/1.1\r\n"), 0U) << watch.received;
+    EXPECT_TRUE(fixture.is_serving(next));
+}
+
 TEST(HotRestart, OldProcessContinuesToServeWhenTheNewOneDies) {
     ProcessFixture fixture;
     const auto old = fixture.start();
